--- /dev/null
+++ b/src/camphorstack/contracts/shares.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "camphorstack/contracts/loan.hpp"
+#include "camphorstack/document/document.hpp"
+#include "camphorstack/hosts/member.hpp"
+#include "camphorstack/support/random.hpp"
+
+namespace camphorstack {
+
+struct share_settings {
+    millis loan_duration{500};    ///< Of a loan of rate; at most 1000 ms, so that it ends within `changeover`.
+    millis changeover{4000};      ///< After a new epoch, the smaller of old and new share counts for this long.
+    std::size_t max_holders = 8;  ///< Holders of one workspace in a fleet of more than `all_hold_up_to` hosts.
+    std::size_t all_hold_up_to = 16;
+
+    friend bool operator==(const share_settings&, const share_settings&) = default;
+};
+
+/// A loan request and the holder that it goes to.
+struct addressed_loan_request {
+    host_id lender;
+    loan_request request;
+
+    friend bool operator==(const addressed_loan_request&, const addressed_loan_request&) = default;
+};
+
+/// All contracts of which this host holds a share.
+struct share_state {
+    host_id self;
+    share_settings settings;
+};
+
+/// Takes over the rates and bursts of a newer document.
+void shares_on_document(share_state& state, const document& content, instant now);
+
+/// Takes over a newer agreed member list; an older epoch is ignored.
+void shares_on_members(share_state& state, const member_list& members, instant now);
+
+/// Spends one request's tokens. False if this host's tokens do not suffice; the caller may wait for a loan.
+bool try_spend(share_state& state, const workspace_id& id, instant now);
+
+/// Loan requests that are due, for workspaces that run low.
+std::vector<addressed_loan_request> due_loan_requests(share_state& state, instant now, random_source& random);
+
+/// Debits this host's share and returns the grant, which may be of zero.
+loan_grant grant_loan(share_state& state, const host_id& borrower, const loan_request& request, instant now);
+
+/// Credits a grant. A grant that answers no open request, of another epoch or after its end is ignored.
+void receive_loan(share_state& state, const host_id& lender, const loan_grant& grant, instant now);
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/endpoints/position.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace camphorstack {
+
+/// Number of a primary's reign over one database. The platform hands each number out once.
+using term_number = std::uint64_t;
+
+/// A place in a database's replication log: the term in which the entry was written and its index.
+/// An instance whose last entry is at or past a position holds every acknowledged write up to it: within a term
+/// there is one log, and the log of a later term contains all acknowledged writes of the earlier ones.
+struct log_position {
+    term_number term = 0;
+    std::uint64_t index = 0;
+
+    friend constexpr auto operator<=>(const log_position&, const log_position&) = default;
+};
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/hosts/host_events.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <variant>
+#include <vector>
+
+#include "camphorstack/endpoints/group_actions.hpp"
+#include "camphorstack/hosts/caller.hpp"
+#include "camphorstack/hosts/peer_message.hpp"
+#include "camphorstack/hosts/platform_call.hpp"
+
+namespace camphorstack {
+
+/// Sent by the task's timer, about every 5 ms.
+struct tick {
+    friend bool operator==(const tick&, const tick&) = default;
+};
+
+/// The link to a peer is usable.
+struct peer_connected {
+    host_id peer;
+
+    friend bool operator==(const peer_connected&, const peer_connected&) = default;
+};
+
+/// The link to a peer broke or could not be opened. Messages handed to it may or may not have arrived.
+struct peer_disconnected {
+    host_id peer;
+
+    friend bool operator==(const peer_disconnected&, const peer_disconnected&) = default;
+};
+
+/// A message that `peer_connected` had not yet preceded, and that was certainly not sent.
+struct peer_not_sent {
+    host_id peer;
+    peer_body body;
+
+    friend bool operator==(const peer_not_sent&, const peer_not_sent&) = default;
+};
+
+struct endpoint_connected {
+    connection_id connection = 0;
+
+    friend bool operator==(const endpoint_connected&, const endpoint_connected&) = default;
+};
+
+struct endpoint_closed {
+    connection_id connection = 0;
+
+    friend bool operator==(const endpoint_closed&, const endpoint_closed&) = default;
+};
+
+struct endpoint_answered {
+    connection_id connection = 0;
+    endpoint_answer answer;
+
+    friend bool operator==(const endpoint_answered&, const endpoint_answered&) = default;
+};
+
+/// Graceful stop: leave the fleet, finish what is in flight, then `host_stopped`.
+struct stop_requested {
+    friend bool operator==(const stop_requested&, const stop_requested&) = default;
+};
+
+using host_event = std::variant<tick, caller_request, peer_message, peer_connected, peer_disconnected, peer_not_sent,
+                                endpoint_connected, endpoint_closed, endpoint_answered, platform_answer, stop_requested>;
+
+/// A message for one peer; `address` is its peer port.
+struct send_to_peer {
+    host_id peer;
+    std::string address;
+    peer_message message;
+
+    friend bool operator==(const send_to_peer&, const send_to_peer&) = default;
+};
+
+/// The host has left and nothing is in flight: the process may end.
+struct host_stopped {
+    friend bool operator==(const host_stopped&, const host_stopped&) = default;
+};
+
+using host_action = std::variant<caller_reply, send_to_peer, open_connection, close_connection, send_call, platform_call,
+                                 decision_record, host_stopped>;
+using host_actions = std::vector<host_action>;
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/hosts/peer_message.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "camphorstack/contracts/loan.hpp"
+#include "camphorstack/document/document.hpp"
+#include "camphorstack/hosts/member.hpp"
+#include "camphorstack/hosts/request.hpp"
+
+namespace camphorstack {
+
+/// What one watcher knew about the platform, as relayed by a peer.
+struct evidence_entry {
+    host_id watcher;
+    document_version version = 0;     ///< Newest version that the watcher knew.
+    std::uint64_t members_epoch = 0;  ///< Newest member list that the watcher knew.
+    bool platform_confirmed = false;  ///< True: read from the platform; false: the platform did not answer.
+    millis age;                       ///< When the answer was sent; an upper bound.
+
+    friend bool operator==(const evidence_entry&, const evidence_entry&) = default;
+};
+
+struct probe {
+    std::uint64_t sequence = 0;
+    document_version version = 0;
+    std::uint64_t members_epoch = 0;
+    std::vector<member_update> updates;
+
+    friend bool operator==(const probe&, const probe&) = default;
+};
+
+struct probe_answer {
+    std::uint64_t sequence = 0;
+    document_version version = 0;
+    std::uint64_t members_epoch = 0;
+    std::vector<member_update> updates;
+    std::vector<evidence_entry> evidence;
+
+    friend bool operator==(const probe_answer&, const probe_answer&) = default;
+};
+
+/// Asks a peer to probe `target` because the sender got no answer from it.
+struct relay_probe {
+    host_id target;
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const relay_probe&, const relay_probe&) = default;
+};
+
+/// Tells that `target` answered a relayed probe.
+struct relay_answer {
+    host_id target;
+    std::uint64_t sequence = 0;
+
+    friend bool operator==(const relay_answer&, const relay_answer&) = default;
+};
+
+struct document_request {
+    friend bool operator==(const document_request&, const document_request&) = default;
+};
+
+struct document_reply {
+    document_version version = 0;
+    std::string text;  ///< The platform object's JSON value.
+
+    friend bool operator==(const document_reply&, const document_reply&) = default;
+};
+
+struct members_request {
+    friend bool operator==(const members_request&, const members_request&) = default;
+};
+
+struct members_reply {
+    member_list members;
+
+    friend bool operator==(const members_reply&, const members_reply&) = default;
+};
+
+struct forward_request {
+    database_request request;
+
+    friend bool operator==(const forward_request&, const forward_request&) = default;
+};
+
+struct forward_reply {
+    database_reply reply;
+
+    friend bool operator==(const forward_reply&, const forward_reply&) = default;
+};
+
+using peer_body = std::variant<probe, probe_answer, relay_probe, relay_answer, document_request, document_reply, members_request,
+                               members_reply, forward_request, forward_reply, loan_request, loan_grant>;
+
+struct peer_message {
+    host_id from;
+    peer_body body;
+
+    friend bool operator==(const peer_message&, const peer_message&) = default;
+};
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/support/clock.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace camphorstack {
+
+/// A span of time in milliseconds.
+struct millis {
+    std::int64_t count = 0;
+
+    friend constexpr auto operator<=>(const millis&, const millis&) = default;
+    friend constexpr millis operator+(millis a, millis b) { return millis{a.count + b.count}; }
+    friend constexpr millis operator-(millis a, millis b) { return millis{a.count - b.count}; }
+    friend constexpr millis operator*(millis a, std::int64_t factor) { return millis{a.count * factor}; }
+    friend constexpr millis operator/(millis a, std::int64_t divisor) { return millis{a.count / divisor}; }
+};
+
+/// A point on one host's monotonic clock, in milliseconds since an arbitrary start.
+/// Instants of different hosts are never compared.
+struct instant {
+    std::int64_t since_start = 0;
+
+    friend constexpr auto operator<=>(const instant&, const instant&) = default;
+    friend constexpr instant operator+(instant t, millis d) { return instant{t.since_start + d.count}; }
+    friend constexpr instant operator-(instant t, millis d) { return instant{t.since_start - d.count}; }
+    friend constexpr millis operator-(instant a, instant b) { return millis{a.since_start - b.since_start}; }
+};
+
+namespace literals {
+constexpr millis operator""_ms(unsigned long long count) {
+    return millis{static_cast<std::int64_t>(count)};
+}
+constexpr millis operator""_s(unsigned long long count) {
+    return millis{static_cast<std::int64_t>(count) * 1000};
+}
+}  // namespace literals
+
+/// Source of the current instant. Decisions take `instant now` instead; only tasks hold a clock.
+class clock {
+public:
+    clock() = default;
+    clock(const clock&) = delete;
+    clock& operator=(const clock&) = delete;
+    clock(clock&&) = delete;
+    clock& operator=(clock&&) = delete;
+    virtual ~clock() = default;
+
+    [[nodiscard]] virtual instant now() const = 0;
+};
+
+/// The machine's monotonic clock.
+class monotonic_clock final : public clock {
+public:
+    [[nodiscard]] instant now() const override;
+};
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/workspaces/fair_queue.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "camphorstack/hosts/request.hpp"
+#include "camphorstack/support/clock.hpp"
+
+namespace camphorstack {
+
+/// A request that waits at the owner of its database.
+struct waiting_request {
+    host_id origin;
+    database_request request;
+    instant arrived;
+    instant deadline;
+
+    friend bool operator==(const waiting_request&, const waiting_request&) = default;
+};
+
+/// Requests waiting at one database's owner, in deficit round robin order over workspaces. Every request costs the same, so the
+/// deficit is one request in each round.
+struct fair_queue {
+    std::size_t limit_per_workspace = 256;
+    std::map<workspace_id, std::deque<waiting_request>> waiting;
+    std::deque<workspace_id> rounds;  ///< Workspaces with waiting requests, next one first.
+};
+
+/// False if the workspace's queue is full.
+bool push_request(fair_queue& queue, waiting_request item);
+
+/// Removes and returns the next request that `can_run` accepts, in fair order. Requests of one workspace that cannot run yet
+/// do not block later ones of the same workspace.
+template <typename Predicate>
+std::optional<waiting_request> pop_request(fair_queue& queue, Predicate can_run) {
+    for (std::size_t turn = 0; turn < queue.rounds.size(); ++turn) {
+        const workspace_id turn_of = queue.rounds.front();
+        queue.rounds.pop_front();
+        auto& items = queue.waiting[turn_of];
+        for (auto item = items.begin(); item != items.end(); ++item) {
+            if (!can_run(*item)) {
+                continue;
+            }
+            waiting_request result = std::move(*item);
+            items.erase(item);
+            if (items.empty()) {
+                queue.waiting.erase(turn_of);
+            } else {
+                queue.rounds.push_back(turn_of);
+            }
+            return result;
+        }
+        queue.rounds.push_back(turn_of);
+    }
+    return std::nullopt;
+}
+
+/// Removes and returns the requests whose deadline has passed.
+std::vector<waiting_request> pop_expired(fair_queue& queue, instant now);
+
+std::size_t queued_requests(const fair_queue& queue);
+
+}  // namespace camphorstack
--- /dev/null
+++ b/tests/tests_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
