--- a/src/camphorstack/hosts/member.hpp
+++ b/src/camphorstack/hosts/member.hpp
@@ -11,7 +11,8 @@
 /// A host of the fleet and how to reach it.
 struct member {
     host_id id;
-    std::string address;  ///< Peer port, "ip:port".
+    std::string address;       ///< Peer port, "ip:port".
+    std::string http_address;  ///< Port for callers and operators, "ip:port".
     data_centre_id location;
 
     friend bool operator==(const member&, const member&) = default;
