Compose one host from the decisions: entry, groups, platform, spread

Cause: the daemon and the tests must run the same decisions, so the whole host is one function from events to actions. Ruled out: letting a group reply into the pending requests directly, since a walk over them could then lose its place.

--- /dev/null
+++ b/src/camphorstack/hosts/entry.cpp
@@ -0,0 +1,249 @@
+#include "camphorstack/hosts/entry.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <ranges>
+
+#include "camphorstack/hosts/admission.hpp"
+#include "camphorstack/hosts/groups.hpp"
+#include "camphorstack/hosts/host_state.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+// The owner gives up this much earlier, so that its answer still reaches the caller's entry host in time.
+constexpr millis reply_margin{30};
+
+caller_reply refuse(std::uint64_t ticket, const refused_request& why) {
+    return {ticket, request_outcome::not_run, why.reason, why.text, "", "", "", why.workspace};
+}
+
+void count_refusal(host_state& state, const workspace_id& workspace, refusal reason) {
+    if (!workspace.empty()) {
+        ++state.counts[workspace].refused[reason];
+    }
+}
+
+void answer_caller(host_state& state, const pending_request& pending, request_outcome outcome, refusal reason,
+                   const std::string& text, host_actions& actions) {
+    if (outcome != request_outcome::done) {
+        count_refusal(state, pending.workspace, reason);
+    }
+    actions.emplace_back(caller_reply{pending.ticket, outcome, reason, text, "", "", "", pending.workspace});
+}
+
+/// True if running the request twice is the same as running it once.
+bool may_be_sent_again(const database_request& request) {
+    return request.kind == request_kind::read || request.kind == request_kind::begin ||
+           (request.kind == request_kind::write && (request.idempotent || !request.idempotency_key.empty()));
+}
+
+/// The next host to try: the transaction's holder, or the owner and then the standby, each once.
+std::optional<host_id> next_target(const host_state& state, const pending_request& pending) {
+    const auto untried = [&](const host_id& id) {
+        return !id.empty() && !pending.targets.contains(id) && !pending.finished.contains(id);
+    };
+    if (!pending.holder.empty()) {
+        return untried(pending.holder) ? std::optional(pending.holder) : std::nullopt;
+    }
+    const auto found = state.groups.find(pending.request.database);
+    if (found == state.groups.end()) {
+        return std::nullopt;
+    }
+    for (const auto& candidate : {found->second.hosts.owner, found->second.hosts.standby}) {
+        if (untried(candidate)) {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Hands a copy of the request to one host. May answer it at once when the host is this one.
+void send_request(host_state& state, pending_request& pending, const host_id& target, instant now, host_actions& actions) {
+    pending.stage = pending_stage::at_owner;
+    pending.sent = now;
+    pending.targets.insert(target);
+    auto request = pending.request;
+    request.time_left = std::max(pending.deadline - now - reply_margin, millis{0});
+    if (target == state.settings.self.id) {
+        submit_to_group(state, target, request, now, actions);
+    } else {
+        send_peer(state, target, forward_request{std::move(request)}, actions);
+    }
+}
+
+void finish(host_state& state, std::map<request_id, pending_request>::iterator entry, request_outcome outcome, refusal reason,
+            const std::string& text, host_actions& actions) {
+    answer_caller(state, entry->second, outcome, reason, text, actions);
+    state.pending.erase(entry);
+}
+
+/// A request of which some copy may be running is unknown; otherwise it certainly did not run.
+void finish_without_reply(host_state& state, std::map<request_id, pending_request>::iterator entry, refusal reason,
+                          host_actions& actions) {
+    const bool may_run = entry->second.may_have_run || !entry->second.targets.empty();
+    finish(state, entry, may_run ? request_outcome::unknown : request_outcome::not_run, reason, to_string(reason), actions);
+}
+
+/// One host will not answer any more: tries the next one, or ends the request if no copy is left.
+void try_next(host_state& state, std::map<request_id, pending_request>::iterator entry, const host_id& finished, refusal reason,
+              const std::string& text, instant now, host_actions& actions) {
+    auto& pending = entry->second;
+    pending.targets.erase(finished);
+    pending.finished.insert(finished);
+    const auto target = next_target(state, pending);
+    const bool ran_nowhere = pending.targets.empty() && !pending.may_have_run;
+    if (target && (ran_nowhere || may_be_sent_again(pending.request))) {
+        send_request(state, pending, *target, now, actions);
+    } else if (pending.targets.empty()) {
+        const auto outcome = pending.may_have_run ? request_outcome::unknown : request_outcome::not_run;
+        finish(state, entry, outcome, reason, text, actions);
+    }
+}
+
+bool spend(host_state& state, const pending_request& pending, instant now) {
+    if (counts_against_rate(pending.request.kind) && !try_spend(state.shares, pending.workspace, now)) {
+        return false;
+    }
+    ++state.counts[pending.workspace].admitted;
+    return true;
+}
+
+void send_first(host_state& state, std::map<request_id, pending_request>::iterator entry, instant now, host_actions& actions) {
+    const auto target = next_target(state, entry->second);
+    if (target) {
+        send_request(state, entry->second, *target, now, actions);
+    } else {
+        finish(state, entry, request_outcome::not_run, refusal::owner_unreachable, "no host owns the database", actions);
+    }
+}
+
+caller_reply to_caller(const host_state& state, const pending_request& pending, const database_reply& reply) {
+    caller_reply result{pending.ticket, reply.outcome, reply.reason, reply.body, "", "", reply.served_by, pending.workspace};
+    auto session = pending.session;
+    auto& seen = session.seen[pending.request.database];
+    seen = std::max(seen, reply.session);
+    result.session_token = format_token(session, state.settings.token_secret);
+    return result;
+}
+
+/// A refusal that another host may not share.
+bool is_refusal_of_host(const database_reply& reply) {
+    return reply.outcome == request_outcome::not_run &&
+           (reply.reason == refusal::no_recent_document || reply.reason == refusal::owner_unreachable);
+}
+
+void turn_to_standby(host_state& state, pending_request& pending, instant now, host_actions& actions) {
+    const bool silent = now - pending.sent >= state.settings.forward_patience;
+    if (!silent || !may_be_sent_again(pending.request) || pending.targets.contains(state.settings.self.id)) {
+        return;
+    }
+    if (const auto target = next_target(state, pending)) {
+        send_request(state, pending, *target, now, actions);
+    }
+}
+
+void tick_pending(host_state& state, std::map<request_id, pending_request>::iterator entry, instant now, host_actions& actions) {
+    auto& pending = entry->second;
+    if (pending.stage == pending_stage::waiting_for_share) {
+        if (spend(state, pending, now)) {
+            send_first(state, entry, now, actions);
+        } else if (now - pending.arrived >= state.settings.loan_patience || now >= pending.deadline) {
+            finish(state, entry, request_outcome::not_run, refusal::over_rate, "the workspace's rate and burst are used up",
+                   actions);
+        }
+        return;
+    }
+    if (now >= pending.deadline) {
+        finish_without_reply(state, entry, refusal::deadline, actions);
+        return;
+    }
+    turn_to_standby(state, pending, now, actions);
+}
+
+}  // namespace
+
+void receive_caller_request(host_state& state, const caller_request& request, instant now, host_actions& actions) {
+    if (serving_state(state, now) != recency::recent) {
+        actions.emplace_back(
+            refuse(request.ticket, {refusal::no_recent_document, "this host cannot prove that its document is recent", ""}));
+        return;
+    }
+    auto admitted = admit(state, request, now);
+    if (const auto* refused = std::get_if<refused_request>(&admitted)) {
+        count_refusal(state, refused->workspace, refused->reason);
+        actions.emplace_back(refuse(request.ticket, *refused));
+        return;
+    }
+    auto& pending = std::get<pending_request>(admitted);
+    const auto& settings = state.settings;
+    pending.request.id = settings.self.id + "/" + settings.start_nonce + "/" + std::to_string(state.next_request++);
+    const auto id = pending.request.id;
+    const auto entry = state.pending.emplace(id, std::move(pending)).first;
+    if (spend(state, entry->second, now)) {
+        send_first(state, entry, now, actions);
+    }
+}
+
+void receive_reply(host_state& state, const host_id& from, const database_reply& reply, instant now, host_actions& actions) {
+    const auto entry = state.pending.find(reply.id);
+    if (entry == state.pending.end() || !entry->second.targets.contains(from)) {
+        return;
+    }
+    if (is_refusal_of_host(reply)) {
+        try_next(state, entry, from, reply.reason, reply.body, now, actions);
+        return;
+    }
+    const bool others_may_answer = entry->second.targets.size() > 1 && reply.outcome != request_outcome::done;
+    if (others_may_answer) {
+        entry->second.targets.erase(from);
+        return;
+    }
+    auto result = to_caller(state, entry->second, reply);
+    if (result.outcome == request_outcome::not_run && entry->second.may_have_run) {
+        result.outcome = request_outcome::unknown;
+    }
+    if (!reply.transaction.empty()) {
+        const auto& pending = entry->second;
+        result.transaction_token = format_token(
+            transaction_token{pending.workspace, pending.request.database, from, reply.transaction}, state.settings.token_secret);
+    }
+    if (reply.outcome != request_outcome::done) {
+        count_refusal(state, entry->second.workspace, reply.reason);
+    }
+    state.pending.erase(entry);
+    actions.emplace_back(std::move(result));
+}
+
+void entry_on_peer_lost(host_state& state, const host_id& peer, instant now, host_actions& actions) {
+    for (auto entry = state.pending.begin(); entry != state.pending.end();) {
+        const auto current = entry++;
+        auto& pending = current->second;
+        if (!pending.targets.contains(peer)) {
+            continue;
+        }
+        pending.may_have_run = true;
+        const auto reason = pending.holder.empty() ? refusal::connection_lost : refusal::transaction_lost;
+        try_next(state, current, peer, reason, "the link to the database's owner broke", now, actions);
+    }
+}
+
+void entry_on_not_sent(host_state& state, const host_id& peer, const request_id& request, instant now, host_actions& actions) {
+    const auto entry = state.pending.find(request);
+    if (entry == state.pending.end()) {
+        return;
+    }
+    const bool in_transaction = !entry->second.holder.empty();
+    try_next(state, entry, peer, in_transaction ? refusal::transaction_lost : refusal::owner_unreachable,
+             "the database's owner cannot be reached", now, actions);
+}
+
+void entry_tick(host_state& state, instant now, host_actions& actions) {
+    for (auto entry = state.pending.begin(); entry != state.pending.end();) {
+        const auto current = entry++;
+        tick_pending(state, current, now, actions);
+    }
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/hosts/groups.cpp
@@ -0,0 +1,228 @@
+#include "camphorstack/hosts/groups.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+#include "camphorstack/hosts/host_state.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+// A group numbers its connections on its own; the upper bits tell the groups of a host apart.
+constexpr unsigned group_number_shift = 40;
+constexpr connection_id local_connection_mask = (connection_id{1} << group_number_shift) - 1;
+
+connection_id to_host_connection(const group_slot& slot, connection_id local) {
+    return (slot.number << group_number_shift) | local;
+}
+
+group_slot* slot_of_connection(host_state& state, connection_id connection) {
+    const auto number = connection >> group_number_shift;
+    for (auto& slot : state.groups | std::views::values) {
+        if (slot.number == number) {
+            return &slot;
+        }
+    }
+    return nullptr;
+}
+
+void reply_to_origin(host_state& state, const reply_to_request& answer, host_actions& actions) {
+    if (answer.origin == state.settings.self.id) {
+        state.local_replies.push_back(answer.reply);
+    } else {
+        send_peer(state, answer.origin, forward_reply{answer.reply}, actions);
+    }
+}
+
+/// Carries out or translates what a group asked for.
+struct group_action_visitor {
+    host_state& state;
+    const group_slot& slot;
+    instant now;
+    host_actions& actions;
+
+    void operator()(open_connection action) const {
+        action.connection = to_host_connection(this->slot, action.connection);
+        this->actions.emplace_back(std::move(action));
+    }
+    void operator()(close_connection action) const {
+        action.connection = to_host_connection(this->slot, action.connection);
+        this->actions.emplace_back(action);
+    }
+    void operator()(send_call action) const {
+        action.connection = to_host_connection(this->slot, action.connection);
+        this->actions.emplace_back(std::move(action));
+    }
+    void operator()(const reply_to_request& answer) const { reply_to_origin(this->state, answer, this->actions); }
+    void operator()(const reserve_term& request) const {
+        start_term_reservation(this->state, request.database, request.above, this->now, this->actions);
+    }
+    void operator()(const decision_record& record) const { record_decision(this->state, record, this->actions); }
+};
+
+void carry_out(host_state& state, const group_slot& slot, const group_actions& wanted, instant now, host_actions& actions) {
+    for (const auto& action : wanted) {
+        std::visit(group_action_visitor{state, slot, now, actions}, action);
+    }
+}
+
+group_slot& slot_for(host_state& state, const database_id& id) {
+    auto& slot = state.groups[id];
+    if (slot.number == 0) {
+        slot.number = state.groups.size();
+        slot.group.id = id;
+        slot.group.settings = state.settings.group;
+    }
+    return slot;
+}
+
+group_duty duty_of(const host_state& state, const group_hosts& hosts) {
+    const auto& self = state.settings.self.id;
+    // A host that cannot prove that it is part of the fleet must not supervise: it may believe that it is alone.
+    if (hosts.owner == self) {
+        return state.serving == recency::recent && !state.stopping ? group_duty::owner : group_duty::standby;
+    }
+    return hosts.standby == self ? group_duty::standby : group_duty::none;
+}
+
+std::set<endpoint_id> usable_endpoints(const document& content, const database& group) {
+    std::set<endpoint_id> result;
+    for (const auto& candidate : group.endpoints) {
+        if (may_receive_work(content, candidate)) {
+            result.insert(candidate.id);
+        }
+    }
+    return result;
+}
+
+void record_owner_change(host_state& state, const database_id& id, const group_hosts& before, const group_hosts& after,
+                         instant now, host_actions& actions) {
+    if (before.owner != after.owner) {
+        record_decision(state,
+                        {now, "owner_moved", id, "from=" + before.owner + " to=" + after.owner + " standby=" + after.standby},
+                        actions);
+    }
+}
+
+void configure(host_state& state, const database& group, instant now, host_actions& actions) {
+    auto& slot = slot_for(state, group.id);
+    group_actions wanted;
+    group_configure(slot.group, group, usable_endpoints(*state.known.content, group), now, wanted);
+    carry_out(state, slot, wanted, now, actions);
+}
+
+void update_duty(host_state& state, group_slot& slot, instant now, host_actions& actions) {
+    const auto duty = duty_of(state, slot.hosts);
+    if (duty == slot.duty) {
+        return;
+    }
+    slot.duty = duty;
+    group_actions wanted;
+    group_set_duty(slot.group, duty, now, wanted);
+    carry_out(state, slot, wanted, now, actions);
+}
+
+/// A group that left the document keeps its endpoints until nothing is in flight, but takes no new work.
+void retire_missing_groups(host_state& state, instant now, host_actions& actions) {
+    for (auto& [id, slot] : state.groups) {
+        if (find_database(*state.known.content, id) == nullptr) {
+            group_actions wanted;
+            group_configure(slot.group, database{id, "", {}}, {}, now, wanted);
+            carry_out(state, slot, wanted, now, actions);
+            slot.hosts = {};
+        }
+    }
+}
+
+template <typename Function>
+void with_slot(host_state& state, group_slot* slot, instant now, host_actions& actions, Function function) {
+    if (slot == nullptr) {
+        return;
+    }
+    group_actions wanted;
+    function(*slot, wanted);
+    carry_out(state, *slot, wanted, now, actions);
+}
+
+}  // namespace
+
+void refresh_groups(host_state& state, instant now, host_actions& actions) {
+    const auto& content = *state.known.content;
+    auto candidates = owner_candidates(state.membership);
+    const bool new_document = content.version != state.last_configured;
+    const bool new_candidates = candidates != state.last_candidates;
+    if (new_document) {
+        for (const auto& group : content.databases) {
+            configure(state, group, now, actions);
+        }
+        retire_missing_groups(state, now, actions);
+        state.last_configured = content.version;
+    }
+    if (new_document || new_candidates) {
+        for (const auto& group : content.databases) {
+            auto& slot = slot_for(state, group.id);
+            const auto hosts = choose_group_hosts(group, content, candidates);
+            record_owner_change(state, group.id, slot.hosts, hosts, now, actions);
+            slot.hosts = hosts;
+        }
+        state.last_candidates = std::move(candidates);
+    }
+    for (auto& slot : state.groups | std::views::values) {
+        update_duty(state, slot, now, actions);
+    }
+}
+
+void tick_groups(host_state& state, instant now, host_actions& actions) {
+    for (auto& slot : state.groups | std::views::values) {
+        with_slot(state, &slot, now, actions,
+                  [&](group_slot& each, group_actions& wanted) { group_tick(each.group, now, wanted); });
+    }
+}
+
+void submit_to_group(host_state& state, const host_id& origin, const database_request& request, instant now,
+                     host_actions& actions) {
+    const auto found = state.groups.find(request.database);
+    if (found == state.groups.end()) {
+        reply_to_origin(
+            state, {origin, {request.id, request_outcome::not_run, refusal::owner_unreachable, "unknown database", {}, "", ""}},
+            actions);
+        return;
+    }
+    with_slot(state, &found->second, now, actions,
+              [&](group_slot& slot, group_actions& wanted) { group_submit(slot.group, origin, request, now, wanted); });
+}
+
+void receive_endpoint_connected(host_state& state, connection_id connection, instant now, host_actions& actions) {
+    with_slot(state, slot_of_connection(state, connection), now, actions, [&](group_slot& slot, group_actions& wanted) {
+        group_connected(slot.group, connection & local_connection_mask, now, wanted);
+    });
+}
+
+void receive_endpoint_closed(host_state& state, connection_id connection, instant now, host_actions& actions) {
+    with_slot(state, slot_of_connection(state, connection), now, actions, [&](group_slot& slot, group_actions& wanted) {
+        group_closed(slot.group, connection & local_connection_mask, now, wanted);
+    });
+}
+
+void receive_endpoint_answer(host_state& state, const endpoint_answered& event, instant now, host_actions& actions) {
+    with_slot(state, slot_of_connection(state, event.connection), now, actions, [&](group_slot& slot, group_actions& wanted) {
+        group_answered(slot.group, event.connection & local_connection_mask, event.answer, now, wanted);
+    });
+}
+
+void tell_group_term(host_state& state, const database_id& database, term_number term, instant now, host_actions& actions) {
+    const auto found = state.groups.find(database);
+    with_slot(state, found == state.groups.end() ? nullptr : &found->second, now, actions,
+              [&](group_slot& slot, group_actions& wanted) { group_term_reserved(slot.group, term, now, wanted); });
+}
+
+std::size_t requests_in_groups(const host_state& state) {
+    std::size_t total = 0;
+    for (const auto& slot : state.groups | std::views::values) {
+        total += group_in_flight(slot.group);
+    }
+    return total;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/hosts/host.cpp
@@ -0,0 +1,245 @@
+#include "camphorstack/hosts/host.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphorstack/hosts/entry.hpp"
+#include "camphorstack/hosts/groups.hpp"
+#include "camphorstack/hosts/host_state.hpp"
+#include "camphorstack/hosts/spread.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+constexpr std::size_t recent_records = 256;
+
+void send_all(const host_state& state, addressed_messages messages, host_actions& actions) {
+    for (auto& message : messages) {
+        send_peer(state, message.to, std::move(message.body), actions);
+    }
+}
+
+void record_membership(host_state& state, host_actions& actions) {
+    for (auto& record : take_records(state.membership)) {
+        record_decision(state, std::move(record), actions);
+    }
+}
+
+/// An owner that cannot prove that its document is recent must not give work to endpoints that may have been taken out.
+bool may_run_for_peers(const host_state& state, instant now) {
+    return serving_state(state, now) == recency::recent;
+}
+
+/// Takes the messages of other hosts.
+struct peer_body_visitor {
+    host_state& state;
+    const host_id& from;
+    instant now;
+    host_actions& actions;
+
+    void operator()(const probe& question) const {
+        auto answer = answer_probe(this->state.membership, this->from, question, versions_of(this->state),
+                                   entries_to_share(this->state.evidence, this->now), this->now);
+        send_peer(this->state, this->from, std::move(answer), this->actions);
+        pull_if_behind(this->state, this->from, {question.version, question.members_epoch}, this->actions);
+    }
+    void operator()(const probe_answer& answer) const {
+        const auto sent = receive_probe_answer(this->state.membership, this->from, answer, this->now);
+        if (sent) {
+            merge_evidence(this->state.evidence, answer.evidence, *sent);
+        }
+        pull_if_behind(this->state, this->from, {answer.version, answer.members_epoch}, this->actions);
+    }
+    void operator()(const relay_probe& request) const {
+        send_all(this->state, relay(this->state.membership, this->from, request, versions_of(this->state), this->now),
+                 this->actions);
+    }
+    void operator()(const relay_answer& answer) const { receive_relay_answer(this->state.membership, answer, this->now); }
+    void operator()(const document_request& /*request*/) const {
+        if (this->state.known.content->version > 0) {
+            send_peer(this->state, this->from, document_reply{this->state.known.content->version, this->state.known.text},
+                      this->actions);
+        }
+    }
+    void operator()(const document_reply& reply) const {
+        adopt_document(this->state, reply.text, reply.version, this->now, this->actions);
+    }
+    void operator()(const members_request& /*request*/) const {
+        send_peer(this->state, this->from, members_reply{this->state.members}, this->actions);
+    }
+    void operator()(const members_reply& reply) const { adopt_members(this->state, reply.members, this->now, this->actions); }
+    void operator()(const forward_request& forward) const {
+        if (may_run_for_peers(this->state, this->now)) {
+            submit_to_group(this->state, this->from, forward.request, this->now, this->actions);
+            return;
+        }
+        database_reply refused;
+        refused.id = forward.request.id;
+        refused.reason = refusal::no_recent_document;
+        refused.body = "the database's owner cannot prove that its document is recent";
+        send_peer(this->state, this->from, forward_reply{refused}, this->actions);
+    }
+    void operator()(const forward_reply& reply) const {
+        receive_reply(this->state, this->from, reply.reply, this->now, this->actions);
+    }
+    void operator()(const loan_request& request) const {
+        send_peer(this->state, this->from, grant_loan(this->state.shares, this->from, request, this->now), this->actions);
+    }
+    void operator()(const loan_grant& grant) const { receive_loan(this->state.shares, this->from, grant, this->now); }
+};
+
+void tick_host(host_state& state, instant now, host_actions& actions) {
+    const auto serving = serving_state(state, now);
+    if (serving != state.serving) {
+        state.serving = serving;
+        record_decision(state,
+                        {now, serving == recency::recent ? "serving_started" : "serving_stopped", state.settings.self.id, ""},
+                        actions);
+    }
+    platform_tick(state, now, actions);
+    send_all(state, membership_tick(state.membership, versions_of(state), now, state.random), actions);
+    for (auto& loan : due_loan_requests(state.shares, now, state.random)) {
+        send_peer(state, loan.lender, std::move(loan.request), actions);
+    }
+    entry_tick(state, now, actions);
+    refresh_groups(state, now, actions);
+    tick_groups(state, now, actions);
+}
+
+void begin_stop(host_state& state, instant now) {
+    if (!state.stopping) {
+        state.stopping = true;
+        state.stop_requested_at = now;
+        announce_leaving(state.membership, now);
+    }
+}
+
+void end_when_drained(host_state& state, instant now, host_actions& actions) {
+    const bool drained = state.pending.empty() && requests_in_groups(state) == 0;
+    if (state.stopping && !state.stopped && drained && now - state.stop_requested_at >= state.settings.stop_grace) {
+        state.stopped = true;
+        actions.emplace_back(host_stopped{});
+    }
+}
+
+struct event_visitor {
+    host_state& state;
+    instant now;
+    host_actions& actions;
+
+    void operator()(const tick& /*event*/) const { tick_host(this->state, this->now, this->actions); }
+    void operator()(const caller_request& request) const {
+        receive_caller_request(this->state, request, this->now, this->actions);
+    }
+    void operator()(const peer_message& message) const {
+        std::visit(peer_body_visitor{this->state, message.from, this->now, this->actions}, message.body);
+    }
+    void operator()(const peer_connected& /*event*/) const {}
+    void operator()(const peer_disconnected& event) const {
+        entry_on_peer_lost(this->state, event.peer, this->now, this->actions);
+        send_all(this->state, on_link_lost(this->state.membership, event.peer, versions_of(this->state), this->now),
+                 this->actions);
+    }
+    void operator()(const peer_not_sent& event) const {
+        if (const auto* forward = std::get_if<forward_request>(&event.body)) {
+            entry_on_not_sent(this->state, event.peer, forward->request.id, this->now, this->actions);
+        }
+    }
+    void operator()(const endpoint_connected& event) const {
+        receive_endpoint_connected(this->state, event.connection, this->now, this->actions);
+    }
+    void operator()(const endpoint_closed& event) const {
+        receive_endpoint_closed(this->state, event.connection, this->now, this->actions);
+    }
+    void operator()(const endpoint_answered& event) const {
+        receive_endpoint_answer(this->state, event, this->now, this->actions);
+    }
+    void operator()(const platform_answer& answer) const {
+        receive_platform_answer(this->state, answer, this->now, this->actions);
+    }
+    void operator()(const stop_requested& /*event*/) const { begin_stop(this->state, this->now); }
+};
+
+void take_local_replies(host_state& state, instant now, host_actions& actions) {
+    while (!state.local_replies.empty()) {
+        for (const auto& reply : std::exchange(state.local_replies, {})) {
+            receive_reply(state, state.settings.self.id, reply, now, actions);
+        }
+    }
+}
+
+bool is_epoch_recent(const host_state& state, instant now) {
+    const auto is_recent = [&](const watcher_evidence& seen) {
+        return now - seen.observed <= evidence_lifetime && seen.members_epoch <= state.members.epoch;
+    };
+    std::size_t supporting = 0;
+    for (const auto& [watcher, seen] : state.evidence.newest) {
+        if (!is_recent(seen)) {
+            continue;
+        }
+        if (seen.platform_confirmed) {
+            return true;
+        }
+        supporting += std::ranges::binary_search(state.watchers, watcher) ? 1 : 0;
+    }
+    return supporting * 2 > state.watchers.size();
+}
+
+}  // namespace
+
+void host_state_deleter::operator()(host_state* state) const {
+    delete state;
+}
+
+host_handle make_host(host_settings settings, random_source random, instant now) {
+    host_handle host(new host_state);
+    host->random = random;
+    host->membership.self = settings.self;
+    host->membership.settings = settings.membership;
+    host->membership.next_probe = now;
+    host->shares.self = settings.self.id;
+    host->shares.settings = settings.shares;
+    add_members(host->membership, settings.seeds, now);
+    host->settings = std::move(settings);
+    return host;
+}
+
+host_actions step(host_state& state, const host_event& event, instant now) {
+    host_actions actions;
+    std::visit(event_visitor{state, now, actions}, event);
+    take_local_replies(state, now, actions);
+    record_membership(state, actions);
+    end_when_drained(state, now, actions);
+    return actions;
+}
+
+void send_peer(const host_state& state, const host_id& peer, peer_body body, host_actions& actions) {
+    const auto found = state.membership.others.find(peer);
+    if (found != state.membership.others.end()) {
+        actions.emplace_back(
+            send_to_peer{peer, found->second.newest.subject.address, peer_message{state.settings.self.id, std::move(body)}});
+    }
+}
+
+void record_decision(host_state& state, decision_record record, host_actions& actions) {
+    if (state.recent.size() >= recent_records) {
+        state.recent.erase(state.recent.begin());
+    }
+    state.recent.push_back(record);
+    actions.emplace_back(std::move(record));
+}
+
+known_versions versions_of(const host_state& state) {
+    return {state.known.content->version, state.members.epoch};
+}
+
+recency serving_state(const host_state& state, instant now) {
+    const auto result = check_recency(state.evidence, state.watchers, state.known.content->version, now);
+    if (result == recency::recent && !is_epoch_recent(state, now)) {
+        return recency::behind;
+    }
+    return result;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/hosts/spread.cpp
@@ -0,0 +1,77 @@
+#include "camphorstack/hosts/spread.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+#include "camphorstack/document/sections.hpp"
+#include "camphorstack/hosts/host_state.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+std::map<std::string, workspace_id> index_keys(const document& content) {
+    std::map<std::string, workspace_id> result;
+    for (const auto& owner : content.workspaces) {
+        for (const auto& key : owner.keys) {
+            result[key.sha256] = owner.id;
+        }
+    }
+    return result;
+}
+
+}  // namespace
+
+bool adopt_document(host_state& state, const std::string& text, document_version version, instant now, host_actions& actions) {
+    if (version <= state.known.content->version) {
+        return false;
+    }
+    try {
+        auto content = std::make_shared<const document>(parse_document(text, version));
+        state.known = {text, content, index_keys(*content)};
+    } catch (const document_error& problem) {
+        record_decision(state, {now, "document_rejected", "version=" + std::to_string(version), problem.what()}, actions);
+        return false;
+    }
+    shares_on_document(state.shares, *state.known.content, now);
+    record_decision(state, {now, "document_in_force", "document", "version=" + std::to_string(version)}, actions);
+    return true;
+}
+
+void adopt_members(host_state& state, const member_list& members, instant now, host_actions& actions) {
+    if (members.epoch <= state.members.epoch) {
+        return;
+    }
+    state.members = members;
+    state.watchers = choose_watchers(members);
+    add_members(state.membership, members.hosts, now);
+    shares_on_members(state.shares, members, now);
+    record_decision(state,
+                    {now, "members_in_force", "members",
+                     "epoch=" + std::to_string(members.epoch) + " hosts=" + std::to_string(members.hosts.size())},
+                    actions);
+}
+
+void push_document(host_state& state, host_actions& actions) {
+    std::vector<member> peers;
+    const auto candidates = owner_candidates(state.membership);
+    std::ranges::copy_if(candidates, std::back_inserter(peers),
+                         [&](const member& peer) { return peer.id != state.settings.self.id; });
+    std::vector<member> chosen;
+    std::ranges::sample(peers, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(state.settings.push_fanout), state.random);
+    for (const auto& peer : chosen) {
+        send_peer(state, peer.id, document_reply{state.known.content->version, state.known.text}, actions);
+    }
+}
+
+void pull_if_behind(const host_state& state, const host_id& peer, known_versions theirs, host_actions& actions) {
+    const auto mine = versions_of(state);
+    if (theirs.document > mine.document) {
+        send_peer(state, peer, document_request{}, actions);
+    }
+    if (theirs.members_epoch > mine.members_epoch) {
+        send_peer(state, peer, members_request{}, actions);
+    }
+}
+
+}  // namespace camphorstack
