Add the fake fleet for failure tests and measures

Cause: the promises are about many hosts, so the tests need several of them with the whole protocol on a manual clock. Change: one small fake network (delays, cuts, freezes, kills, silent connections, platform outages and lost answers) around host step(), the instance model and the platform model.

--- /dev/null
+++ b/tests/fleet/fleet.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "camphorstack/hosts/host.hpp"
+#include "camphorstack/hosts/host_report.hpp"
+#include "stand_ins/instance_model.hpp"
+#include "stand_ins/platform_model.hpp"
+
+namespace camphorstack::fleet_tests {
+
+/// Sizes and latencies of a user's fleet, see docs/design.md.
+struct fleet_options {
+    std::size_t hosts = 8;
+    std::size_t databases = 3;
+    std::vector<std::string> data_centres{"amman-a", "irbid-a", "aqaba-a"};
+    int slots = 2;
+    int connections = 16;
+    int workspaces = 8;
+    std::int64_t rate_per_s = 2000;  ///< Of each workspace.
+    std::int64_t burst = 200;
+    millis between_data_centres{1};
+    millis to_platform{1};
+    millis connect_cost{12};
+    millis service_time{1};
+    millis replication_lag{5};
+    std::uint64_t seed = 1;
+};
+
+/// The Authority's and Reparoo's sizes of today.
+[[nodiscard]] fleet_options authority(std::uint64_t seed);
+[[nodiscard]] fleet_options reparoo(std::uint64_t seed);
+
+/// A host or instance of the fleet as a place on the fake network.
+struct node {
+    std::string id;
+    std::string location;
+    bool alive = true;
+    bool frozen = false;
+    std::vector<std::function<void()>> held;  ///< Deliveries that wait until the node is thawed.
+};
+
+/// One connection between a host and an instance.
+struct fake_connection {
+    host_id host;
+    endpoint_id target;
+    bool accepted = false;
+    bool silent = false;  ///< Drops everything both ways, without an error.
+};
+
+/// Several hosts, instances and the platform in one process on a manual clock. Messages have delays and may be cut.
+class fleet {
+public:
+    explicit fleet(fleet_options options);
+
+    [[nodiscard]] instant now() const { return this->time; }
+    void run_for(millis span);
+
+    /// Sends a caller's request to a host; `done` gets the reply, or an unknown outcome if the host dies first.
+    void call(const host_id& host, caller_request request, std::function<void(const caller_reply&)> done);
+    /// A request for a workspace's key, with the route and database filled in.
+    [[nodiscard]] caller_request request(int workspace, int database, request_kind kind, const std::string& statement);
+
+    void kill(const std::string& id);
+    void restart_host(const host_id& id);
+    void restart_instance(const endpoint_id& id);
+    void freeze(const std::string& id);
+    void thaw(const std::string& id);
+    /// Drops messages between two nodes, or between one node and everything (`other` empty); "platform" is a node too.
+    void cut(const std::string& id, const std::string& other = "");
+    void heal();
+    void set_platform_down(bool down) { this->platform_down = down; }
+    /// The next write at the platform takes effect, but its answer is lost.
+    void lose_next_platform_write() { this->lose_write = true; }
+    void stop(const host_id& id);
+    [[nodiscard]] bool has_stopped(const host_id& id) const { return this->stopped.contains(id); }
+    /// Connections of the host to the instance go silent for good; new ones work.
+    void silence_connections(const host_id& host, const endpoint_id& target);
+
+    /// Replaces one section as an operator would; returns the document version that was accepted.
+    document_version apply(const std::string& section, const std::string& content);
+    [[nodiscard]] std::string data_centres_section(const std::string& out_id) const;
+    [[nodiscard]] std::string databases_section(const std::string& out_id) const;
+    [[nodiscard]] std::string tenancy_section(int withdrawn_workspace) const;
+
+    [[nodiscard]] std::vector<host_id> live_hosts() const;
+    [[nodiscard]] host_id host(std::size_t index) const;
+    [[nodiscard]] endpoint_id primary_of(int database) const;
+    [[nodiscard]] host_id owner_of_database(int database) const;
+    [[nodiscard]] const stand_ins::instance_model& instance(const endpoint_id& id) const { return this->instances.at(id); }
+    [[nodiscard]] host_report report_of(const host_id& id) const;
+    [[nodiscard]] const stand_ins::platform_model& platform() const { return this->store; }
+    /// Called when an instance receives a statement, for observers of what endpoints see.
+    std::function<void(const endpoint_id&, const endpoint_call&)> on_endpoint_call;
+    /// Called for each peer message that is sent, for counting.
+    std::function<void(const peer_message&)> on_peer_message;
+
+    static std::string key_of(int workspace);
+    static std::string workspace_name(int workspace);
+    static std::string database_name(int database);
+
+private:
+    struct timed {
+        instant at;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+        friend bool operator>(const timed& a, const timed& b) { return a.at != b.at ? a.at > b.at : a.order > b.order; }
+    };
+
+    void after(millis delay, std::function<void()> run);
+    /// Delivers over the network: dropped if cut or dead on arrival, held while the receiver is frozen.
+    void deliver(const std::string& from, const std::string& to, std::function<void()> run);
+    void run_at(const std::string& id, std::function<void()> run);
+    [[nodiscard]] bool is_cut(const std::string& a, const std::string& b) const;
+    [[nodiscard]] millis latency(const std::string& a, const std::string& b);
+    void start_host(const host_id& id);
+    void tick_host(const host_id& id, std::uint64_t life);
+    void feed(const host_id& id, const host_event& event);
+    void carry_out(const host_id& id, const host_actions& actions);
+    void open(const host_id& id, const open_connection& action);
+    void send(const host_id& id, const send_call& action);
+    void arrive(const host_id& id, const send_call& action);
+    void run_slot(const endpoint_id& id);
+    void answer(const host_id& id, const send_call& action);
+    void send_message(const host_id& id, const send_to_peer& action);
+    void call_platform(const host_id& id, const platform_call& call);
+    void close_connections(const std::string& id);
+    void replicate(const endpoint_id& id);
+    [[nodiscard]] std::size_t accepted_connections(const endpoint_id& id) const;
+
+    fleet_options options;
+    random_source random;
+    instant time{1000};
+    std::uint64_t next_order = 0;
+    std::priority_queue<timed, std::vector<timed>, std::greater<>> events;
+    std::map<std::string, node> nodes;
+    std::map<host_id, host_handle> hosts;
+    std::map<host_id, std::uint64_t> lives;
+    std::map<endpoint_id, stand_ins::instance_model> instances;
+    std::map<std::string, endpoint_id> by_address;
+    std::map<endpoint_id, int> busy_slots;
+    std::map<endpoint_id, std::vector<std::pair<host_id, send_call>>> slot_queue;
+    std::map<std::pair<host_id, connection_id>, fake_connection> connections;
+    std::map<std::pair<host_id, connection_id>, std::uint64_t> connection_numbers;
+    std::map<std::pair<host_id, host_id>, instant> link_clock;  ///< Keeps messages of one link in order.
+    std::set<std::pair<std::string, std::string>> cuts;
+    std::map<std::pair<host_id, std::uint64_t>, std::function<void(const caller_reply&)>> callers;
+    std::set<host_id> stopped;
+    stand_ins::platform_model store;
+    std::map<std::string, std::uint64_t> platform_caller_numbers;
+    std::map<std::uint64_t, host_id> platform_callers;
+    std::uint64_t next_ticket = 1;
+    bool platform_down = false;
+    bool lose_write = false;
+};
+
+}  // namespace camphorstack::fleet_tests
