--- /dev/null
+++ b/src/camphorstack/hosts/membership_updates.cpp
@@ -0,0 +1,183 @@
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
+#include "camphorstack/hosts/membership.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+/// Hosts that a newcomer is told of in one answer. Covers today's fleets; larger ones also learn from the platform's list.
+constexpr std::size_t newcomer_updates = 64;
+
+bool overrides(const member_update& later, const member_update& earlier) {
+    return std::tie(later.incarnation, later.state) > std::tie(earlier.incarnation, earlier.state);
+}
+
+member_update own_update(const membership_state& state) {
+    return {state.self, state.leaving ? member_state::leaving : member_state::alive, state.incarnation};
+}
+
+/// Others may hold an older process's or a suspected state of this host; a higher incarnation overrides it.
+void refute(membership_state& state, const member_update& claim) {
+    const auto own = own_update(state);
+    if (claim.incarnation < own.incarnation || claim == own) {
+        return;
+    }
+    const bool only_older = claim.incarnation == own.incarnation && claim.subject == own.subject && claim.state < own.state;
+    if (!only_older) {
+        state.incarnation = claim.incarnation + 1;
+    }
+    state.own_transmissions = 0;
+}
+
+void record_change(membership_state& state, const host_id& id, member_state changed, const std::string& observations,
+                   instant now) {
+    const auto kind = [changed]() -> std::string {
+        switch (changed) {
+            case member_state::leaving:
+                return "host_leaving";
+            case member_state::suspect:
+                return "host_suspected";
+            case member_state::dead:
+                return "host_dead";
+            default:
+                return "host_alive";
+        }
+    }();
+    state.records.push_back({now, kind, id, observations});
+}
+
+void take_over(membership_state& state, member_view& view, const member_update& update, instant now) {
+    const bool state_changed = view.newest.state != update.state;
+    if (state_changed || view.newest.state == member_state::suspect) {
+        view.changed = now;
+        view.confirmations = 0;
+    }
+    if (update.state == member_state::leaving || update.state == member_state::alive) {
+        view.left = update.state == member_state::leaving;
+    }
+    view.newest = update;
+    view.transmissions = 0;
+    view.seen = true;
+    if (state_changed) {
+        record_change(state, update.subject.id, update.state, "incarnation=" + std::to_string(update.incarnation), now);
+    }
+}
+
+void apply_update(membership_state& state, const member_update& update, instant now) {
+    const auto& id = update.subject.id;
+    if (id == state.self.id) {
+        refute(state, update);
+        return;
+    }
+    const auto known = state.others.find(id);
+    if (known == state.others.end()) {
+        if (update.state != member_state::dead) {
+            member_view added;
+            added.newest = update;
+            added.changed = now;
+            added.seen = true;
+            added.left = update.state == member_state::leaving;
+            state.others.emplace(id, added);
+            record_change(state, id, update.state, "learned_from=update", now);
+        }
+        return;
+    }
+    if (overrides(update, known->second.newest)) {
+        take_over(state, known->second, update, now);
+    } else if (update == known->second.newest) {
+        known->second.seen = true;
+    }
+}
+
+}  // namespace
+
+int transmission_limit(std::size_t known_hosts) {
+    constexpr int factor = 3;
+    return factor * (1 + static_cast<int>(std::bit_width(known_hosts)));
+}
+
+millis suspicion_time(const membership_settings& settings, std::size_t known_hosts) {
+    constexpr std::size_t small_fleet = 16;
+    const auto doublings = static_cast<std::int64_t>(std::bit_width(std::max(known_hosts, small_fleet) / small_fleet)) - 1;
+    return settings.suspicion_time * (1 + doublings);
+}
+
+void apply_updates(membership_state& state, const std::vector<member_update>& updates, instant now) {
+    for (const auto& update : updates) {
+        apply_update(state, update, now);
+    }
+}
+
+std::vector<member_update> choose_updates(membership_state& state, const host_id& to) {
+    const auto limit = transmission_limit(state.others.size());
+    std::vector<std::pair<int, member_view*>> pending;
+    std::vector<member_update> result;
+    for (auto& [id, view] : state.others) {
+        // A host that is not held alive is told so each time, so that it can refute.
+        if (id == to && view.newest.state != member_state::alive) {
+            result.push_back(view.newest);
+        } else if (id != to && view.seen && view.transmissions < limit) {
+            pending.emplace_back(view.transmissions, &view);
+        }
+    }
+    if (state.own_transmissions < limit) {
+        ++state.own_transmissions;
+        result.push_back(own_update(state));
+    }
+    const auto room = state.settings.max_updates - std::min(state.settings.max_updates, result.size());
+    const auto chosen = std::min(room, pending.size());
+    std::ranges::partial_sort(pending, pending.begin() + static_cast<std::ptrdiff_t>(chosen), {},
+                              [](const auto& entry) { return entry.first; });
+    for (std::size_t i = 0; i < chosen; ++i) {
+        auto* view = pending[i].second;
+        ++view->transmissions;
+        result.push_back(view->newest);
+    }
+    return result;
+}
+
+void set_state(membership_state& state, const host_id& id, member_state changed, const std::string& observations, instant now) {
+    const auto found = state.others.find(id);
+    if (found == state.others.end() || found->second.newest.state >= changed) {
+        return;
+    }
+    auto& view = found->second;
+    view.newest.state = changed;
+    view.changed = now;
+    view.transmissions = 0;
+    view.confirmations = 0;
+    record_change(state, id, changed, observations, now);
+}
+
+probe_answer answer_probe(membership_state& state, const host_id& from, const probe& question, known_versions versions,
+                          std::vector<evidence_entry> evidence, instant now) {
+    const bool newcomer = !state.others.contains(from) || !state.others.at(from).seen;
+    apply_updates(state, question.updates, now);
+    probe_answer answer{question.sequence, versions.document, versions.members_epoch, {}, std::move(evidence)};
+    answer.updates = choose_updates(state, from);
+    const auto known = state.others.find(from);
+    const auto claimed = std::ranges::find(question.updates, from, [](const auto& update) { return update.subject.id; });
+    // A restarted host learns from the difference that it has to raise its incarnation.
+    if (known != state.others.end() && claimed != question.updates.end() && known->second.newest != *claimed &&
+        std::ranges::find(answer.updates, known->second.newest) == answer.updates.end()) {
+        answer.updates.push_back(known->second.newest);
+    }
+    if (newcomer) {
+        auto next = state.others.upper_bound(from);
+        for (std::size_t i = 0; i < state.others.size() && answer.updates.size() < newcomer_updates; ++i, ++next) {
+            if (next == state.others.end()) {
+                next = state.others.begin();
+            }
+            if (next->first != from && next->second.seen && next->second.newest.state != member_state::dead) {
+                answer.updates.push_back(next->second.newest);
+            }
+        }
+        answer.updates.push_back(own_update(state));
+    }
+    return answer;
+}
+
+}  // namespace camphorstack
