Read, check and merge the sections of the document

Cause: the other modules need parse_document, merge_section and document_store.

Change: json-glib behind a thin holder (json_tree) that also knows the line of each object and reports repeated fields, which json-glib drops silently. Text is scanned before json-glib sees it: its parser recurses over nested values and accepts comments.

--- /dev/null
+++ b/src/camphorstack/document/document_store.cpp
@@ -0,0 +1,25 @@
+#include "camphorstack/document/document_store.hpp"
+
+#include "camphorstack/document/sections.hpp"
+
+namespace camphorstack {
+
+bool accept_document(document_store& store, const std::string& text, document_version version) {
+    if (version <= store.version) {
+        return false;
+    }
+    try {
+        store.content = std::make_shared<const document>(parse_document(text, version));
+    } catch (const document_error& failure) {
+        if (version >= store.refused_version) {
+            store.refused_version = version;
+            store.refused_because = failure.what();
+        }
+        return false;
+    }
+    store.text = text;
+    store.version = version;
+    return true;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/document/json_tree.cpp
@@ -0,0 +1,171 @@
+#include "camphorstack/document/json_tree.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace camphorstack {
+
+namespace {
+
+/// json-glib parses nested values by recursion, so the depth is bounded before the text reaches it.
+constexpr int max_depth = 64;
+
+struct g_object_deleter {
+    void operator()(gpointer object) const { g_object_unref(object); }
+};
+using parser_handle = std::unique_ptr<JsonParser, g_object_deleter>;
+
+bool may_stand_outside_strings(char c) {
+    return g_ascii_isspace(c) != FALSE || g_ascii_isalnum(c) != FALSE ||
+           std::string_view{"+-.,:{}[]"}.find(c) != std::string_view::npos;
+}
+
+/// Finds what json-glib accepts beyond JSON (comments, single quotes) and values nested too deeply. Empty if there is nothing.
+std::string find_unsafe_part(const std::string& text) {
+    int depth = 0;
+    bool in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (in_string) {
+            i += c == '\\' ? 1 : 0;
+            in_string = c != '"';
+        } else if (c == '"') {
+            in_string = true;
+        } else if (!may_stand_outside_strings(c)) {
+            return "not valid JSON: unexpected character outside of a string";
+        } else if (c == '{' || c == '[') {
+            if (++depth > max_depth) {
+                return "values are nested more than " + std::to_string(max_depth) + " deep";
+            }
+        } else if (c == '}' || c == ']') {
+            --depth;
+        }
+    }
+    return {};
+}
+
+std::string generate(JsonNode* node, bool pretty) {
+    const std::unique_ptr<JsonGenerator, g_object_deleter> generator{json_generator_new()};
+    json_generator_set_root(generator.get(), node);
+    json_generator_set_pretty(generator.get(), pretty ? TRUE : FALSE);
+    json_generator_set_indent(generator.get(), 2);
+    gsize length = 0;
+    const std::unique_ptr<char, decltype(&g_free)> text{json_generator_to_data(generator.get(), &length), &g_free};
+    return {text.get(), length};
+}
+
+JsonNode* member_of_kind(JsonObject* parent, const char* name, JsonNodeType kind) {
+    JsonNode* node = parent == nullptr ? nullptr : json_object_get_member(parent, name);
+    return node != nullptr && json_node_get_node_type(node) == kind ? node : nullptr;
+}
+
+JsonNode* member_of_type(JsonObject* parent, const char* name, GType type) {
+    JsonNode* node = member_of_kind(parent, name, JSON_NODE_VALUE);
+    return node != nullptr && json_node_get_value_type(node) == type ? node : nullptr;
+}
+
+}  // namespace
+
+/// Collects what the parser's signals tell while it runs.
+struct json_tree::scan {
+    json_tree* tree = nullptr;
+    std::vector<int> open_lines;
+    std::set<std::pair<JsonObject*, std::string>> members;
+
+    static int line_in(JsonParser* parser) { return static_cast<int>(json_parser_get_current_line(parser)); }
+
+    static void on_object_start(JsonParser* parser, gpointer data) {
+        static_cast<scan*>(data)->open_lines.push_back(line_in(parser));
+    }
+
+    static void on_object_member(JsonParser* parser, JsonObject* object, const char* name, gpointer data) {
+        auto* self = static_cast<scan*>(data);
+        // json-glib keeps the last of several members of the same name and drops the others without an error.
+        if (!self->members.emplace(object, name).second) {
+            self->tree->found_faults.push_back({line_in(parser), "field \"" + std::string{name} + "\" is given twice"});
+        }
+    }
+
+    static void on_object_end(JsonParser* /*parser*/, JsonObject* object, gpointer data) {
+        auto* self = static_cast<scan*>(data);
+        if (!self->open_lines.empty()) {
+            self->tree->lines[object] = self->open_lines.back();
+            self->open_lines.pop_back();
+        }
+    }
+};
+
+json_tree::json_tree(const std::string& text) {
+    if (g_utf8_validate(text.data(), static_cast<gssize>(text.size()), nullptr) == FALSE) {
+        this->found_faults.push_back({0, "text is not valid UTF-8"});
+        return;
+    }
+    if (const std::string unsafe = find_unsafe_part(text); !unsafe.empty()) {
+        this->found_faults.push_back({0, unsafe});
+        return;
+    }
+    const parser_handle parser{json_parser_new()};
+    scan observed{this, {}, {}};
+    g_signal_connect(parser.get(), "object-start", G_CALLBACK(&scan::on_object_start), &observed);
+    g_signal_connect(parser.get(), "object-member", G_CALLBACK(&scan::on_object_member), &observed);
+    g_signal_connect(parser.get(), "object-end", G_CALLBACK(&scan::on_object_end), &observed);
+    GError* failure = nullptr;
+    if (json_parser_load_from_data(parser.get(), text.data(), static_cast<gssize>(text.size()), &failure) == FALSE) {
+        const std::string reason = failure == nullptr ? "unknown error" : failure->message;
+        g_clear_error(&failure);
+        this->found_faults.push_back({scan::line_in(parser.get()), "not valid JSON: " + reason});
+        return;
+    }
+    this->root_node.reset(json_parser_steal_root(parser.get()));
+    if (std::ranges::count(text, '\n') == 0) {
+        this->lines.clear();
+    }
+}
+
+JsonObject* json_tree::root() const {
+    return this->root_node && JSON_NODE_HOLDS_OBJECT(this->root_node.get()) ? json_node_get_object(this->root_node.get())
+                                                                            : nullptr;
+}
+
+int json_tree::line_of(JsonObject* object) const {
+    const auto found = this->lines.find(object);
+    return found == this->lines.end() ? 0 : found->second;
+}
+
+std::string to_json_text(JsonNode* node) {
+    return generate(node, false);
+}
+
+std::string to_pretty_json_text(JsonNode* node) {
+    return generate(node, true);
+}
+
+JsonObject* object_member(JsonObject* parent, const char* name) {
+    JsonNode* node = member_of_kind(parent, name, JSON_NODE_OBJECT);
+    return node == nullptr ? nullptr : json_node_get_object(node);
+}
+
+JsonArray* array_member(JsonObject* parent, const char* name) {
+    JsonNode* node = member_of_kind(parent, name, JSON_NODE_ARRAY);
+    return node == nullptr ? nullptr : json_node_get_array(node);
+}
+
+std::optional<std::string> string_member(JsonObject* parent, const char* name) {
+    JsonNode* node = member_of_type(parent, name, G_TYPE_STRING);
+    return node == nullptr ? std::nullopt : std::optional<std::string>{json_node_get_string(node)};
+}
+
+std::optional<std::int64_t> integer_member(JsonObject* parent, const char* name) {
+    JsonNode* node = member_of_type(parent, name, G_TYPE_INT64);
+    return node == nullptr ? std::nullopt : std::optional<std::int64_t>{json_node_get_int(node)};
+}
+
+std::optional<bool> boolean_member(JsonObject* parent, const char* name) {
+    JsonNode* node = member_of_type(parent, name, G_TYPE_BOOLEAN);
+    return node == nullptr ? std::nullopt : std::optional<bool>{json_node_get_boolean(node) != FALSE};
+}
+
+}  // namespace camphorstack
