--- a/tests/fleet/fleet.hpp
+++ b/tests/fleet/fleet.hpp
@@ -63,6 +63,9 @@
     [[nodiscard]] instant now() const { return this->time; }
     void run_for(millis span);
 
+    /// Runs a function after some time, for callers and faults.
+    void schedule(millis delay, std::function<void()> run) { this->after(delay, std::move(run)); }
+
     /// Sends a caller's request to a host; `done` gets the reply, or an unknown outcome if the host dies first.
     void call(const host_id& host, caller_request request, std::function<void(const caller_reply&)> done);
     /// A request for a workspace's key, with the route and database filled in.
