--- a/src/camphorstack/endpoints/group.hpp
+++ b/src/camphorstack/endpoints/group.hpp
@@ -9,7 +9,12 @@
 
 #include "camphorstack/document/document.hpp"
 #include "camphorstack/endpoints/group_actions.hpp"
+#include "camphorstack/endpoints/group_connection.hpp"
+#include "camphorstack/endpoints/group_instance.hpp"
+#include "camphorstack/endpoints/group_promotion.hpp"
 #include "camphorstack/endpoints/group_settings.hpp"
+#include "camphorstack/endpoints/group_transaction.hpp"
+#include "camphorstack/endpoints/unacknowledged_write.hpp"
 #include "camphorstack/workspaces/fair_queue.hpp"
 
 namespace camphorstack {
@@ -25,6 +30,29 @@
 struct group_state {
     database_id id;
     group_settings settings;
+    group_duty duty = group_duty::none;
+    instant duty_since;
+    std::map<endpoint_id, group_instance> instances;
+    std::map<connection_id, group_connection> connections;
+    /// The first id is derived from the database's id, so that groups of one host use different ones.
+    connection_id next_connection = 0;
+    call_id next_call = 1;
+    fair_queue queue;
+    std::vector<unacknowledged_write> unacknowledged;
+    std::map<std::string, group_transaction> transactions;
+    group_primary primary;
+    std::optional<group_promotion> promotion;
+    std::optional<group_switchover> switchover;
+    term_reserve reserve;
+    term_number highest_term = 0;    ///< Highest term that any instance reported.
+    instant highest_term_since;      ///< When it was first reported.
+    term_number attempted_term = 0;  ///< Term of this host's last promotion.
+    int failed_promotions = 0;       ///< In a row.
+    instant next_promotion;          ///< No promotion starts before this.
+    instant next_switchover;         ///< No planned switchover starts before this.
+    instant needed;                  ///< When a request was last in flight here.
+    instant last_event;
+    std::size_t reader_turn = 0;  ///< Spreads reads over equally loaded replicas.
 };
 
 /// Takes over the group's endpoints and which of them may receive new work. The primary of an endpoint that may not
--- a/src/camphorstack/workspaces/fair_queue.hpp
+++ b/src/camphorstack/workspaces/fair_queue.hpp
@@ -18,6 +18,9 @@
     database_request request;
     instant arrived;
     instant deadline;
+    bool sent = false;        ///< Was written to a connection before, so `not_run` would be a guess.
+    bool retried = false;     ///< Was moved to another connection once already.
+    bool at_primary = false;  ///< A replica proved too far behind; only the primary may answer.
 
     friend bool operator==(const waiting_request&, const waiting_request&) = default;
 };
@@ -33,6 +36,9 @@
 /// False if the workspace's queue is full.
 bool push_request(fair_queue& queue, waiting_request item);
 
+/// Puts back a request that was taken out and could not run, as the first one of its workspace. The limit does not apply.
+void requeue_request(fair_queue& queue, waiting_request item);
+
 /// Removes and returns the next request that `can_run` accepts, in fair order. Requests of one workspace that cannot run yet
 /// do not block later ones of the same workspace.
 template <typename Predicate>
