Add the codec of peer messages

Hosts exchange FlatBuffers frames, and a frame comes from the network, so it is verified before it is read. The object API of flatc was ruled out: it adds a second copy of every message. Beyond the verifier the reader rejects unknown enumeration values, negative ages (they would make evidence look newer) and strings that share storage (a small frame would grow into a large message).

--- /dev/null
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -0,0 +1,177 @@
+#include "camphorstack/links/peer_codec.hpp"
+
+#include <string>
+#include <utility>
+
+#include "camphorstack/links/peer_frame_reader.hpp"
+#include "camphorstack/schemas/peer_generated.h"
+#include "camphorstack/support/errors.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+/// A body that has been written into the builder.
+struct written_body {
+    wire::Body type = wire::Body::NONE;
+    Offset<void> table;
+};
+
+template <typename Enum>
+std::uint8_t number(Enum value) {
+    return static_cast<std::uint8_t>(value);
+}
+
+Offset<wire::Member> write_member(FlatBufferBuilder& out, const member& subject) {
+    const auto id = out.CreateString(subject.id);
+    const auto address = out.CreateString(subject.address);
+    const auto http_address = out.CreateString(subject.http_address);
+    const auto location = out.CreateString(subject.location);
+    return wire::CreateMember(out, id, address, http_address, location);
+}
+
+auto write_updates(FlatBufferBuilder& out, const std::vector<member_update>& updates) {
+    std::vector<Offset<wire::MemberUpdate>> tables;
+    tables.reserve(updates.size());
+    for (const auto& update : updates) {
+        const auto subject = write_member(out, update.subject);
+        tables.push_back(wire::CreateMemberUpdate(out, subject, number(update.state), update.incarnation));
+    }
+    return out.CreateVector(tables);
+}
+
+/// Writes each alternative of `peer_body`.
+class body_writer {
+public:
+    explicit body_writer(FlatBufferBuilder& builder) : out(builder) {}
+
+    written_body operator()(const probe& body) const {
+        const auto updates = write_updates(this->out, body.updates);
+        const auto table = wire::CreateProbe(this->out, body.sequence, body.version, body.members_epoch, updates);
+        return {wire::Body::Probe, table.Union()};
+    }
+
+    written_body operator()(const probe_answer& body) const {
+        const auto updates = write_updates(this->out, body.updates);
+        std::vector<Offset<wire::Evidence>> entries;
+        entries.reserve(body.evidence.size());
+        for (const auto& entry : body.evidence) {
+            const auto watcher = this->out.CreateString(entry.watcher);
+            entries.push_back(wire::CreateEvidence(this->out, watcher, entry.version, entry.members_epoch,
+                                                   entry.platform_confirmed, entry.age.count));
+        }
+        const auto evidence = this->out.CreateVector(entries);
+        const auto table = wire::CreateProbeAnswer(this->out, body.sequence, body.version, body.members_epoch, updates, evidence);
+        return {wire::Body::ProbeAnswer, table.Union()};
+    }
+
+    written_body operator()(const relay_probe& body) const {
+        const auto target = this->out.CreateString(body.target);
+        return {wire::Body::RelayProbe, wire::CreateRelayProbe(this->out, target, body.sequence).Union()};
+    }
+
+    written_body operator()(const relay_answer& body) const {
+        const auto target = this->out.CreateString(body.target);
+        return {wire::Body::RelayAnswer, wire::CreateRelayAnswer(this->out, target, body.sequence).Union()};
+    }
+
+    written_body operator()(const document_request& /*body*/) const {
+        return {wire::Body::DocumentRequest, wire::CreateDocumentRequest(this->out).Union()};
+    }
+
+    written_body operator()(const document_reply& body) const {
+        const auto text = this->out.CreateString(body.text);
+        return {wire::Body::DocumentReply, wire::CreateDocumentReply(this->out, body.version, text).Union()};
+    }
+
+    written_body operator()(const members_request& /*body*/) const {
+        return {wire::Body::MembersRequest, wire::CreateMembersRequest(this->out).Union()};
+    }
+
+    written_body operator()(const members_reply& body) const {
+        std::vector<Offset<wire::Member>> tables;
+        tables.reserve(body.members.hosts.size());
+        for (const auto& host : body.members.hosts) {
+            tables.push_back(write_member(this->out, host));
+        }
+        const auto hosts = this->out.CreateVector(tables);
+        return {wire::Body::MembersReply, wire::CreateMembersReply(this->out, body.members.epoch, hosts).Union()};
+    }
+
+    written_body operator()(const forward_request& body) const {
+        const auto& request = body.request;
+        const auto id = this->out.CreateString(request.id);
+        const auto workspace = this->out.CreateString(request.workspace);
+        const auto database = this->out.CreateString(request.database);
+        const auto key = this->out.CreateString(request.idempotency_key);
+        const auto statement = this->out.CreateString(request.statement);
+        const auto transaction = this->out.CreateString(request.transaction);
+        wire::ForwardRequestBuilder table(this->out);
+        table.add_id(id);
+        table.add_workspace(workspace);
+        table.add_database(database);
+        table.add_kind(number(request.kind));
+        table.add_idempotent(request.idempotent);
+        table.add_idempotency_key(key);
+        table.add_statement(statement);
+        table.add_session_term(request.session.term);
+        table.add_session_index(request.session.index);
+        if (request.max_age) {
+            table.add_max_age_ms(request.max_age->count);
+        }
+        table.add_transaction(transaction);
+        table.add_time_left_ms(request.time_left.count);
+        return {wire::Body::ForwardRequest, table.Finish().Union()};
+    }
+
+    written_body operator()(const forward_reply& body) const {
+        const auto& reply = body.reply;
+        const auto id = this->out.CreateString(reply.id);
+        const auto text = this->out.CreateString(reply.body);
+        const auto transaction = this->out.CreateString(reply.transaction);
+        const auto served_by = this->out.CreateString(reply.served_by);
+        const auto table = wire::CreateForwardReply(this->out, id, number(reply.outcome), number(reply.reason), text,
+                                                    reply.session.term, reply.session.index, transaction, served_by);
+        return {wire::Body::ForwardReply, table.Union()};
+    }
+
+    written_body operator()(const loan_request& body) const {
+        const auto workspace = this->out.CreateString(body.workspace);
+        const auto table = wire::CreateLoanRequest(this->out, body.sequence, workspace, body.epoch, body.tokens, body.rate_per_s,
+                                                   body.duration.count);
+        return {wire::Body::LoanRequest, table.Union()};
+    }
+
+    written_body operator()(const loan_grant& body) const {
+        const auto workspace = this->out.CreateString(body.workspace);
+        const auto table = wire::CreateLoanGrant(this->out, body.sequence, workspace, body.epoch, body.tokens, body.rate_per_s,
+                                                 body.duration.count);
+        return {wire::Body::LoanGrant, table.Union()};
+    }
+
+private:
+    FlatBufferBuilder& out;
+};
+
+}  // namespace
+
+std::vector<std::uint8_t> encode(const peer_message& message) {
+    FlatBufferBuilder out;
+    const auto body = std::visit(body_writer(out), message.body);
+    const auto from = out.CreateString(message.from);
+    out.Finish(wire::CreateFrame(out, peer_protocol_version, from, body.type, body.table));
+    if (out.GetSize() > peer_frame_limit) {
+        throw format_error("peer message of " + std::to_string(out.GetSize()) + " bytes is above the limit of " +
+                           std::to_string(peer_frame_limit));
+    }
+    return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
+}
+
+peer_message decode(std::span<const std::uint8_t> frame) {
+    return peer_frame_reader(frame).read();
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -0,0 +1,198 @@
+#include "camphorstack/links/peer_frame_reader.hpp"
+
+#include "camphorstack/links/peer_codec.hpp"
+#include "camphorstack/support/errors.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+template <typename Enum>
+Enum checked_enum(std::uint8_t value, Enum last) {
+    if (value > static_cast<std::uint8_t>(last)) {
+        throw format_error("peer frame: value " + std::to_string(value) + " is outside its enumeration");
+    }
+    return static_cast<Enum>(value);
+}
+
+std::int64_t not_negative(std::int64_t value) {
+    if (value < 0) {
+        throw format_error("peer frame: negative age, amount or duration");
+    }
+    return value;
+}
+
+template <typename Table>
+const Table& present(const Table* table) {
+    if (table == nullptr) {
+        throw format_error("peer frame: missing table");
+    }
+    return *table;
+}
+
+}  // namespace
+
+peer_frame_reader::peer_frame_reader(std::span<const std::uint8_t> frame) : text_budget(frame.size()) {
+    constexpr std::size_t smallest_frame = 8;
+    constexpr flatbuffers::uoffset_t max_depth = 8;
+    constexpr std::size_t smallest_table = 8;
+    if (frame.size() < smallest_frame || frame.size() > peer_frame_limit) {
+        throw format_error("peer frame: length of " + std::to_string(frame.size()) + " bytes");
+    }
+    const auto max_tables = static_cast<flatbuffers::uoffset_t>(frame.size() / smallest_table);
+    flatbuffers::Verifier verifier(frame.data(), frame.size(), max_depth, max_tables);
+    if (!wire::VerifyFrameBuffer(verifier)) {
+        throw format_error("peer frame: does not verify against the schema");
+    }
+    this->root = wire::GetFrame(frame.data());
+    if (this->root->version() != peer_protocol_version) {
+        throw format_error("peer frame: protocol version " + std::to_string(this->root->version()));
+    }
+}
+
+peer_message peer_frame_reader::read() {
+    if (this->root->body() == nullptr) {
+        throw format_error("peer frame: no body");
+    }
+    std::string from = this->text(this->root->from());
+    return {std::move(from), this->read_body()};
+}
+
+std::string peer_frame_reader::text(const flatbuffers::String* value) {
+    if (value == nullptr) {
+        return {};
+    }
+    if (value->size() > this->text_budget) {
+        throw format_error("peer frame: strings share storage");
+    }
+    this->text_budget -= value->size();
+    return value->str();
+}
+
+member peer_frame_reader::read_member(const wire::Member* table) {
+    const auto& source = present(table);
+    member result;
+    result.id = this->text(source.id());
+    result.address = this->text(source.address());
+    result.http_address = this->text(source.http_address());
+    result.location = this->text(source.location());
+    return result;
+}
+
+std::vector<member_update> peer_frame_reader::read_updates(
+    const flatbuffers::Vector<flatbuffers::Offset<wire::MemberUpdate>>* tables) {
+    std::vector<member_update> result;
+    if (tables == nullptr) {
+        return result;
+    }
+    for (const wire::MemberUpdate* table : *tables) {
+        member subject = this->read_member(present(table).subject());
+        result.push_back({std::move(subject), checked_enum(table->state(), member_state::dead), table->incarnation()});
+    }
+    return result;
+}
+
+peer_body peer_frame_reader::read(const wire::Probe& table) {
+    return probe{table.sequence(), table.version(), table.members_epoch(), this->read_updates(table.updates())};
+}
+
+peer_body peer_frame_reader::read(const wire::ProbeAnswer& table) {
+    probe_answer result{table.sequence(), table.version(), table.members_epoch(), this->read_updates(table.updates()), {}};
+    if (table.evidence() != nullptr) {
+        for (const wire::Evidence* entry : *table.evidence()) {
+            result.evidence.push_back({this->text(present(entry).watcher()), entry->version(), entry->members_epoch(),
+                                       entry->platform_confirmed(), millis{not_negative(entry->age_ms())}});
+        }
+    }
+    return result;
+}
+
+peer_body peer_frame_reader::read(const wire::MembersReply& table) {
+    members_reply result;
+    result.members.epoch = table.epoch();
+    if (table.hosts() != nullptr) {
+        for (const wire::Member* host : *table.hosts()) {
+            result.members.hosts.push_back(this->read_member(host));
+        }
+    }
+    return result;
+}
+
+peer_body peer_frame_reader::read(const wire::ForwardRequest& table) {
+    database_request request;
+    request.id = this->text(table.id());
+    request.workspace = this->text(table.workspace());
+    request.database = this->text(table.database());
+    request.kind = checked_enum(table.kind(), request_kind::rollback);
+    request.idempotent = table.idempotent();
+    request.idempotency_key = this->text(table.idempotency_key());
+    request.statement = this->text(table.statement());
+    request.session = {table.session_term(), table.session_index()};
+    if (table.max_age_ms()) {
+        request.max_age = millis{not_negative(*table.max_age_ms())};
+    }
+    request.transaction = this->text(table.transaction());
+    request.time_left = millis{table.time_left_ms()};
+    return forward_request{std::move(request)};
+}
+
+peer_body peer_frame_reader::read(const wire::ForwardReply& table) {
+    database_reply reply;
+    reply.id = this->text(table.id());
+    reply.outcome = checked_enum(table.outcome(), request_outcome::unknown);
+    reply.reason = checked_enum(table.reason(), refusal::transaction_lost);
+    reply.body = this->text(table.body());
+    reply.session = {table.session_term(), table.session_index()};
+    reply.transaction = this->text(table.transaction());
+    reply.served_by = this->text(table.served_by());
+    return forward_reply{std::move(reply)};
+}
+
+peer_body peer_frame_reader::read_body() {
+    const wire::Frame& frame = *this->root;
+    switch (frame.body_type()) {
+        case wire::Body::Probe:
+            return this->read(*frame.body_as_Probe());
+        case wire::Body::ProbeAnswer:
+            return this->read(*frame.body_as_ProbeAnswer());
+        case wire::Body::RelayProbe:
+            return relay_probe{this->text(frame.body_as_RelayProbe()->target()), frame.body_as_RelayProbe()->sequence()};
+        case wire::Body::RelayAnswer:
+            return relay_answer{this->text(frame.body_as_RelayAnswer()->target()), frame.body_as_RelayAnswer()->sequence()};
+        case wire::Body::DocumentRequest:
+            return document_request{};
+        case wire::Body::DocumentReply:
+            return document_reply{frame.body_as_DocumentReply()->version(), this->text(frame.body_as_DocumentReply()->text())};
+        case wire::Body::MembersRequest:
+            return members_request{};
+        case wire::Body::MembersReply:
+            return this->read(*frame.body_as_MembersReply());
+        case wire::Body::ForwardRequest:
+            return this->read(*frame.body_as_ForwardRequest());
+        case wire::Body::ForwardReply:
+            return this->read(*frame.body_as_ForwardReply());
+        case wire::Body::LoanRequest: {
+            const auto& table = *frame.body_as_LoanRequest();
+            return loan_request{table.sequence(),
+                                this->text(table.workspace()),
+                                table.epoch(),
+                                not_negative(table.tokens()),
+                                not_negative(table.rate_per_s()),
+                                millis{not_negative(table.duration_ms())}};
+        }
+        case wire::Body::LoanGrant: {
+            const auto& table = *frame.body_as_LoanGrant();
+            return loan_grant{table.sequence(),
+                              this->text(table.workspace()),
+                              table.epoch(),
+                              not_negative(table.tokens()),
+                              not_negative(table.rate_per_s()),
+                              millis{not_negative(table.duration_ms())}};
+        }
+        case wire::Body::NONE:
+            break;
+    }
+    throw format_error("peer frame: unknown body");
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/links/peer_frame_reader.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "camphorstack/hosts/peer_message.hpp"
+#include "camphorstack/schemas/peer_generated.h"
+
+namespace camphorstack {
+
+/// Reads one verified frame into a peer message. Every failure is a format_error.
+class peer_frame_reader {
+public:
+    /// Verifies the frame. The bytes must outlive the reader.
+    explicit peer_frame_reader(std::span<const std::uint8_t> frame);
+
+    [[nodiscard]] peer_message read();
+
+private:
+    std::string text(const flatbuffers::String* value);
+    member read_member(const wire::Member* table);
+    std::vector<member_update> read_updates(const flatbuffers::Vector<flatbuffers::Offset<wire::MemberUpdate>>* tables);
+    peer_body read_body();
+    peer_body read(const wire::Probe& table);
+    peer_body read(const wire::ProbeAnswer& table);
+    peer_body read(const wire::MembersReply& table);
+    peer_body read(const wire::ForwardRequest& table);
+    peer_body read(const wire::ForwardReply& table);
+
+    /// Bytes of text that may still be read. Frames may let many offsets point to one string, which would multiply a small
+    /// frame into a large message; text that the encoder wrote is never longer than its frame.
+    std::size_t text_budget = 0;
+    const wire::Frame* root = nullptr;
+};
+
+}  // namespace camphorstack
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -2,6 +2,7 @@
 
 
 #ifndef FLATBUFFERS_GENERATED_PEER_CAMPHORSTACK_WIRE_H_
+#pragma GCC system_header
 #define FLATBUFFERS_GENERATED_PEER_CAMPHORSTACK_WIRE_H_
 
 #include "flatbuffers/flatbuffers.h"
--- /dev/null
+++ b/tests/links/peer_codec.tests.cpp
@@ -0,0 +1,107 @@
+#include "camphorstack/links/peer_codec.hpp"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <random>
+
+#include "camphorstack/support/errors.hpp"
+
+using namespace camphorstack;
+
+namespace {
+
+const member host_a{"a", "127.0.0.1:7101", "127.0.0.1:8101", "amman-a"};
+const member host_b{"b", "127.0.0.1:7102", "127.0.0.1:8102", "irbid-a"};
+
+std::vector<peer_body> one_of_each() {
+    const std::vector<member_update> updates{{host_a, member_state::alive, 3}, {host_b, member_state::dead, 9}};
+    database_request request{"a-1-1",     "ws",  "db-1",      request_kind::statement, true, "once", "SELECT", {4, 17},
+                             millis{250}, "t-1", millis{1500}};
+    database_reply reply{"a-1-1", request_outcome::unknown, refusal::connection_lost, "rows", {4, 18}, "t-1", "db-1-a"};
+    return {probe{7, 3, 2, updates},
+            probe_answer{7, 3, 2, updates, {{"w1", 3, 2, true, millis{40}}, {"w2", 2, 1, false, millis{0}}}},
+            relay_probe{"b", 8},
+            relay_answer{"b", 8},
+            document_request{},
+            document_reply{5, std::string(1'000'000, 'd')},
+            members_request{},
+            members_reply{{6, {host_a, host_b}}},
+            forward_request{request},
+            forward_reply{reply},
+            loan_request{1, "ws", 6, 5000, 2500, millis{500}},
+            loan_grant{1, "ws", 6, 0, 2500, millis{500}}};
+}
+
+}  // namespace
+
+TEST_CASE("every peer message survives the wire unchanged", "[peer-codec][whole-answer]") {
+    // Guards against a field that the schema, the writer or the reader leaves out.
+    const auto bodies = one_of_each();
+    REQUIRE(bodies.size() == std::variant_size_v<peer_body>);
+    for (std::size_t i = 0; i < bodies.size(); ++i) {
+        REQUIRE(bodies[i].index() == i);
+        const peer_message message{"a", bodies[i]};
+        CHECK(decode(encode(message)) == message);
+    }
+}
+
+TEST_CASE("a forwarded read without an age bound is not read as one with a bound of zero", "[peer-codec]") {
+    database_request request;
+    request.id = "a-1-2";
+    const peer_message unbounded{"a", forward_request{request}};
+    request.max_age = millis{0};
+    const peer_message bounded{"a", forward_request{request}};
+    CHECK(decode(encode(unbounded)) == unbounded);
+    CHECK(decode(encode(bounded)) == bounded);
+    CHECK(unbounded != bounded);
+}
+
+TEST_CASE("a message above the frame limit is not encoded", "[peer-codec]") {
+    CHECK_THROWS_AS(encode({"a", document_reply{1, std::string(peer_frame_limit, 'x')}}), format_error);
+}
+
+TEST_CASE("an evidence age below zero is rejected, as it would make evidence look newer", "[peer-codec][key-withdrawal]") {
+    CHECK_THROWS_AS(decode(encode({"a", probe_answer{1, 1, 1, {}, {{"w", 1, 1, true, millis{-1}}}}})), format_error);
+}
+
+TEST_CASE("a truncated frame is rejected unless only padding is missing", "[peer-codec]") {
+    // The last bytes of a frame may be alignment padding; without them the message is still whole.
+    constexpr std::size_t largest_padding = 3;
+    const peer_message message{"a", probe{7, 3, 2, {{host_a, member_state::alive, 3}}}};
+    const auto frame = encode(message);
+    for (std::size_t length = 0; length < frame.size(); ++length) {
+        std::optional<peer_message> read;
+        try {
+            read = decode(std::span(frame).first(length));
+        } catch (const format_error&) {
+            continue;
+        }
+        CHECK(read == message);
+        CHECK(frame.size() - length <= largest_padding);
+    }
+}
+
+TEST_CASE("mutated frames are read or rejected with format_error, never anything else", "[peer-codec][fuzz]") {
+    // Guards against reads outside the frame (with the sanitizer build) and other exceptions than format_error.
+    constexpr int mutations = 10'000;
+    std::mt19937_64 random(20'260'412);
+    auto bodies = one_of_each();
+    bodies[5] = document_reply{5, "small, so that mutations reach the tables"};
+    std::size_t rejected = 0;
+    for (int round = 0; round < mutations; ++round) {
+        auto frame = encode({"host-a", bodies[static_cast<std::size_t>(round) % bodies.size()]});
+        for (auto changes = 1 + random() % 8; changes > 0; --changes) {
+            frame[random() % frame.size()] = static_cast<std::uint8_t>(random());
+        }
+        if (random() % 4 == 0) {
+            frame.resize(random() % (frame.size() + 1));
+        }
+        try {
+            (void)decode(frame);
+        } catch (const format_error&) {
+            ++rejected;
+        }
+    }
+    CHECK(rejected > mutations / 4);
+    CHECK(rejected < mutations);
+}
