Read the daemon's settings from YAML

Cause: serve needs parse_settings, and an operator needs every fault of a file at once, with its line.

Change: a reader per mapping collects errors as FILE:LINE: text. Ids have a fixed form, in settings and in the document, since they stand in URLs, log fields and metric labels.

--- a/src/camphorstack/document/checks.cpp
+++ b/src/camphorstack/document/checks.cpp
@@ -68,6 +68,13 @@
     return read_number(text.substr(start), highest_port) > 0;
 }
 
+bool is_id(const std::string& text) {
+    constexpr std::size_t longest = 100;
+    return !text.empty() && text.size() <= longest && std::ranges::all_of(text, [](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '.' || c == '_' || c == '-';
+    });
+}
+
 bool is_sha256_text(const std::string& text) {
     constexpr std::size_t digits = 64;
     return text.size() == digits &&
--- a/src/camphorstack/document/object_reader.cpp
+++ b/src/camphorstack/document/object_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "camphorstack/document/checks.hpp"
 #include "camphorstack/document/sections.hpp"
 
 namespace camphorstack {
@@ -49,6 +50,14 @@
     return *value;
 }
 
+std::string object_reader::required_id(const char* name) {
+    const auto text = this->required_string(name);
+    if (!text.empty() && !is_id(text)) {
+        this->fail(name, id_rule);
+    }
+    return text;
+}
+
 std::string object_reader::optional_string(const char* name) {
     if (this->find(name) == nullptr) {
         return {};
--- a/src/camphorstack/document/object_reader.hpp
+++ b/src/camphorstack/document/object_reader.hpp
@@ -28,6 +28,8 @@
 
     /// A string that must be there and not be empty.
     std::string required_string(const char* name);
+    /// A string that must be there and have the form of an id.
+    std::string required_id(const char* name);
     /// A string, empty if it is absent.
     std::string optional_string(const char* name);
     /// A whole number that must be there and lie within the bounds.
--- a/src/camphorstack/document/section_readers.cpp
+++ b/src/camphorstack/document/section_readers.cpp
@@ -22,7 +22,7 @@
 }
 
 key_hash read_key(object_reader& reader) {
-    key_hash key{reader.required_string("id"), reader.required_string("sha256")};
+    key_hash key{reader.required_id("id"), reader.required_string("sha256")};
     if (!key.sha256.empty() && !is_sha256_text(key.sha256)) {
         reader.fail("sha256", "must be 64 lower-case hexadecimal digits");
     }
@@ -31,15 +31,15 @@
 
 workspace read_workspace(object_reader& reader) {
     workspace result;
-    result.id = reader.required_string("id");
+    result.id = reader.required_id("id");
     reader.each_object("keys", false, [&](object_reader& item) { result.keys.push_back(read_key(item)); });
     return result;
 }
 
 route read_route(object_reader& reader) {
     route result;
-    result.id = reader.required_string("id");
-    result.service = reader.required_string("service");
+    result.id = reader.required_id("id");
+    result.service = reader.required_id("service");
     result.workspaces = reader.strings("workspaces");
     result.open_workspace = reader.optional_string("open_workspace");
     return result;
@@ -47,15 +47,15 @@
 
 data_centre read_data_centre(object_reader& reader) {
     data_centre result;
-    result.id = reader.required_string("id");
-    result.region = reader.required_string("region");
+    result.id = reader.required_id("id");
+    result.region = reader.required_id("region");
     result.state = read_presence(reader);
     return result;
 }
 
 endpoint read_endpoint(object_reader& reader) {
     endpoint result;
-    result.id = reader.required_string("id");
+    result.id = reader.required_id("id");
     result.location = reader.required_string("data_centre");
     result.address = reader.required_string("address");
     if (!result.address.empty() && !is_ip_and_port(result.address)) {
@@ -69,8 +69,8 @@
 
 database read_database(object_reader& reader) {
     database result;
-    result.id = reader.required_string("id");
-    result.service = reader.required_string("service");
+    result.id = reader.required_id("id");
+    result.service = reader.required_id("service");
     reader.each_object("endpoints", true, [&](object_reader& item) { result.endpoints.push_back(read_endpoint(item)); });
     if (result.endpoints.empty()) {
         reader.fail("endpoints", "a database needs at least one endpoint");
--- /dev/null
+++ b/src/camphorstack/settings/settings_reader.cpp
@@ -0,0 +1,162 @@
+#include "camphorstack/settings/settings_reader.hpp"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "camphorstack/document/checks.hpp"
+#include "camphorstack/settings/daemon_settings.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+constexpr millis longest_duration{24LL * 60 * 60 * 1000};
+constexpr std::size_t highest_count = 1'000'000;
+
+std::optional<std::int64_t> read_whole_number(const std::string& text) {
+    std::int64_t value = 0;
+    const auto* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value);
+    const bool is_whole = !text.empty() && result.ec == std::errc{} && result.ptr == end && value >= 0;
+    return is_whole ? std::optional{value} : std::nullopt;
+}
+
+/// Reads "200ms", "5s" or "2min"; the error text is returned in `fault`.
+std::optional<millis> read_duration(const std::string& text, std::string& fault) {
+    const auto unit_start = text.find_first_not_of("0123456789");
+    if (unit_start == std::string::npos) {
+        fault = text.empty() ? "must be a duration such as 200ms" : "missing unit: write " + text + "ms or " + text + "s";
+        return std::nullopt;
+    }
+    const auto number = read_whole_number(text.substr(0, unit_start));
+    const auto unit = text.substr(unit_start);
+    const std::int64_t factor = unit == "ms" ? 1 : unit == "s" ? 1000 : unit == "min" ? 60'000 : 0;
+    if (!number) {
+        fault = "must be a whole number with a unit, such as 200ms";
+    } else if (factor == 0) {
+        fault = "wrong unit \"" + unit + "\": must be ms, s or min";
+    } else if (*number > longest_duration.count / factor) {
+        fault = "must be at most 24 hours";
+    } else {
+        return millis{*number * factor};
+    }
+    return std::nullopt;
+}
+
+int line_of(const YAML::Node& node) {
+    return node.Mark().line + 1;
+}
+
+}  // namespace
+
+void settings_errors::add(int line, const std::string& text) {
+    this->lines.push_back(this->file + ":" + std::to_string(line < 1 ? 1 : line) + ": " + text);
+}
+
+void settings_errors::throw_if_any() const {
+    if (this->lines.empty()) {
+        return;
+    }
+    std::string all;
+    for (const auto& line : this->lines) {
+        all += (all.empty() ? "" : "\n") + line;
+    }
+    throw settings_error(all);
+}
+
+settings_reader::settings_reader(settings_errors& sink, YAML::Node mapping, std::string name)
+    : errors(sink), node(std::move(mapping)), place(std::move(name)) {}
+
+YAML::Node settings_reader::child(const std::string& key) {
+    this->asked.insert(key);
+    // Lookup through a const reference does not add the key to the mapping.
+    const YAML::Node& lookup = this->node;
+    return lookup[key];
+}
+
+void settings_reader::fail(const std::string& key, const std::string& text) {
+    const YAML::Node value = this->child(key);
+    const std::string name = this->place.empty() ? key : this->place + "." + key;
+    this->errors.add(value.IsDefined() ? line_of(value) : line_of(this->node), name + ": " + text);
+}
+
+std::string settings_reader::required_text(const std::string& key) {
+    const YAML::Node value = this->child(key);
+    if (!value.IsDefined()) {
+        this->fail(key, "is missing");
+    } else if (!value.IsScalar() || value.Scalar().empty()) {
+        this->fail(key, "must be text that is not empty");
+    } else {
+        return value.Scalar();
+    }
+    return {};
+}
+
+std::string settings_reader::required_address(const std::string& key) {
+    const auto text = this->required_text(key);
+    if (!text.empty() && !is_ip_and_port(text)) {
+        this->fail(key, "must be an IP number and a port, such as 127.0.0.1:7001");
+    }
+    return text;
+}
+
+std::string settings_reader::required_id(const std::string& key) {
+    const auto text = this->required_text(key);
+    if (!text.empty() && !is_id(text)) {
+        this->fail(key, id_rule);
+    }
+    return text;
+}
+
+std::string settings_reader::required_secret(const std::string& key, std::size_t shortest) {
+    const auto text = this->required_text(key);
+    if (!text.empty() && text.size() < shortest) {
+        this->fail(key, "must have at least " + std::to_string(shortest) + " characters");
+    }
+    return text;
+}
+
+void settings_reader::duration(const std::string& key, millis lowest, millis& value) {
+    const YAML::Node text = this->child(key);
+    if (!text.IsDefined()) {
+        return;
+    }
+    std::string fault;
+    const auto read = read_duration(text.IsScalar() ? text.Scalar() : "", fault);
+    if (!read) {
+        this->fail(key, fault);
+    } else if (*read < lowest) {
+        this->fail(key, "must be at least " + std::to_string(lowest.count) + "ms");
+    } else {
+        value = *read;
+    }
+}
+
+void settings_reader::count(const std::string& key, std::size_t& value) {
+    const YAML::Node text = this->child(key);
+    if (!text.IsDefined()) {
+        return;
+    }
+    const auto read = read_whole_number(text.IsScalar() ? text.Scalar() : "");
+    if (!read || *read < 1 || static_cast<std::size_t>(*read) > highest_count) {
+        this->fail(key, "must be a whole number from 1 to " + std::to_string(highest_count));
+    } else {
+        value = static_cast<std::size_t>(*read);
+    }
+}
+
+void settings_reader::reject_unknown_keys() {
+    std::set<std::string> seen;
+    for (const auto& entry : this->node) {
+        const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "";
+        const std::string name = this->place.empty() ? key : this->place + "." + key;
+        if (!this->asked.contains(key)) {
+            this->errors.add(line_of(entry.first), name + ": unknown key");
+        } else if (!seen.insert(key).second) {
+            this->errors.add(line_of(entry.first), name + ": is given twice");
+        }
+    }
+}
+
+}  // namespace camphorstack
