Add conserved shares with loans

Cause: shares.hpp had no implementation.

Change: room for tokens moves with the tokens and both sides of a loan end on their own clocks, the borrower first; what was borrowed is lent on only for a time that ends before its own end. The first list that a process learns, a list after skipped epochs and a new contract give no share for the changeover, so the host lives on loans.

Ruled out: crediting borrowed tokens without moving room for them, because the lender's bucket refills while the borrower still holds the tokens and the fleet then holds more than the burst.

--- /dev/null
+++ b/src/camphorstack/contracts/contract_share.cpp
@@ -0,0 +1,111 @@
+#include "camphorstack/contracts/contract_share.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorstack {
+
+namespace {
+
+constexpr std::int64_t milliseconds_per_second = 1000;
+
+millitokens own_part(const contract_share& share, millitokens amount, instant at) {
+    std::size_t parts = share.parts;
+    for (const auto& earlier : share.former) {
+        if (at < earlier.until) {
+            parts = earlier.holders == 0 || parts == 0 ? 0 : std::max(parts, earlier.holders);
+        }
+    }
+    return parts == 0 ? 0 : amount / static_cast<millitokens>(parts);
+}
+
+/// Sum of one amount over the own part and the borrowed parts, each without what was lent from it.
+millitokens available(const contract_share& share, instant at, millitokens own, millitokens borrowed_part::*borrowed_amount,
+                      millitokens lent_part::*lent_amount) {
+    const auto lent_from = [&](std::uint64_t source) {
+        millitokens sum = 0;
+        for (const auto& part : share.lent) {
+            sum += part.source == source && at < part.until ? part.*lent_amount : 0;
+        }
+        return sum;
+    };
+    millitokens sum = std::max<millitokens>(0, own - lent_from(0));
+    for (const auto& part : share.borrowed) {
+        if (at < part.until) {
+            sum += std::max<millitokens>(0, part.*borrowed_amount - lent_from(part.sequence));
+        }
+    }
+    return sum;
+}
+
+/// The earliest end of a loan or a changeover after `from`, at most `limit`.
+instant next_change(const contract_share& share, instant from, instant limit) {
+    instant next = limit;
+    const auto consider = [&next, from](const auto& items) {
+        for (const auto& item : items) {
+            if (item.until > from) {
+                next = std::min(next, item.until);
+            }
+        }
+    };
+    consider(share.borrowed);
+    consider(share.lent);
+    consider(share.former);
+    return next;
+}
+
+}  // namespace
+
+millitokens own_burst(const contract_share& share, instant at) {
+    const auto part = own_part(share, share.burst, at);
+    // The clock counts whole milliseconds, so a bucket may accrue up to one millisecond's rate early. The room is that much
+    // smaller, except for contracts whose burst would lose more than a tenth.
+    const auto resolution = own_part(share, share.rate_per_s, at) / milliseconds_per_second;
+    return part - std::min(resolution, part / 10);
+}
+
+millitokens own_rate(const contract_share& share, instant at) {
+    return own_part(share, share.rate_per_s, at);
+}
+
+millitokens burst_room(const contract_share& share, instant at) {
+    return available(share, at, own_burst(share, at), &borrowed_part::burst, &lent_part::burst);
+}
+
+millitokens accrual_rate(const contract_share& share, instant at) {
+    return available(share, at, own_rate(share, at), &borrowed_part::rate_per_s, &lent_part::rate_per_s);
+}
+
+void accrue(contract_share& share, instant now) {
+    while (share.updated < now) {
+        const auto next = next_change(share, share.updated, now);
+        const auto gained = accrual_rate(share, share.updated) * (next - share.updated).count + share.remainder;
+        share.tokens = std::min(share.tokens + gained / milliseconds_per_second, burst_room(share, share.updated));
+        share.remainder = gained % milliseconds_per_second;
+        share.updated = next;
+        const auto ended = [next](const auto& item) { return item.until <= next; };
+        std::erase_if(share.borrowed, ended);
+        std::erase_if(share.lent, ended);
+        std::erase_if(share.former, ended);
+    }
+    share.tokens = std::min(share.tokens, burst_room(share, share.updated));
+}
+
+void note_demand(contract_share& share, instant now) {
+    constexpr double memory_ms = 100;
+    const auto gap = static_cast<double>((now - share.last_attempt).count);
+    const auto one_request = static_cast<double>(request_cost * milliseconds_per_second) / memory_ms;
+    share.demand_per_s = share.demand_per_s * std::exp(-gap / memory_ms) + one_request;
+    share.last_attempt = now;
+}
+
+millitokens expected_demand(const contract_share& share, instant now) {
+    // Without a request for a while, at most two requests per such while are expected: a host that load has just left must
+    // lend within a few milliseconds, well before an average over its past demand has faded.
+    constexpr std::int64_t requests_per_gap = 2;
+    const auto gap = std::max<std::int64_t>(1, (now - share.last_attempt).count);
+    const auto ceiling = requests_per_gap * request_cost * milliseconds_per_second / gap;
+    return std::min(static_cast<millitokens>(share.demand_per_s), ceiling);
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/contracts/contract_share.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "camphorstack/contracts/loan.hpp"
+#include "camphorstack/support/clock.hpp"
+#include "camphorstack/support/ids.hpp"
+
+namespace camphorstack {
+
+/// Tokens of one admitted request.
+constexpr millitokens request_cost = 1000;
+
+/// Borrowed burst room and rate. Ends on this host's clock, counted from when it sent the request.
+struct borrowed_part {
+    std::uint64_t sequence = 0;  ///< Of the request.
+    millitokens burst = 0;
+    millitokens rate_per_s = 0;
+    instant until;
+
+    friend bool operator==(const borrowed_part&, const borrowed_part&) = default;
+};
+
+/// Burst room and rate that this host does not use until the borrower's loan has certainly ended.
+struct lent_part {
+    std::uint64_t source = 0;  ///< Sequence of the borrowed part that was lent on, or 0 for the own share.
+    millitokens burst = 0;
+    millitokens rate_per_s = 0;
+    instant until;
+
+    friend bool operator==(const lent_part&, const lent_part&) = default;
+};
+
+/// A share that counts as an upper bound until the end of its changeover.
+struct former_share {
+    std::size_t holders = 0;  ///< The share was one part in this many; 0 if the host held nothing.
+    instant until;
+
+    friend bool operator==(const former_share&, const former_share&) = default;
+};
+
+/// A loan request whose grant may still be credited.
+struct open_loan {
+    host_id lender;
+    instant sent;
+    millis duration;
+
+    friend bool operator==(const open_loan&, const open_loan&) = default;
+};
+
+/// What the borrower remembers of a lender.
+struct lender_memory {
+    instant not_before;          ///< The lender is not asked again earlier than this.
+    int empty_grants = 0;        ///< In a row.
+    millitokens last_grant = 0;  ///< Tokens.
+
+    friend bool operator==(const lender_memory&, const lender_memory&) = default;
+};
+
+/// This host's part of one workspace's contract.
+///
+/// Room for tokens moves with the tokens: a lender's bucket shrinks by what it lent until the loan ends. Otherwise it would
+/// refill while the borrower still holds the tokens, and the fleet would hold more than the contract's burst.
+struct contract_share {
+    millitokens rate_per_s = 0;        ///< Of the whole contract.
+    millitokens burst = 0;             ///< Of the whole contract.
+    std::vector<host_id> holders;      ///< Of the current member list.
+    std::size_t parts = 0;             ///< The own share is one part in this many; 0 if this host is no holder.
+    std::vector<former_share> former;  ///< Shares of earlier lists that still bound the current one.
+
+    millitokens tokens = 0;
+    std::int64_t remainder = 0;  ///< Accrued thousandths of a millitoken.
+    instant updated;             ///< Tokens are accrued up to here.
+    std::vector<borrowed_part> borrowed;
+    std::vector<lent_part> lent;
+
+    double demand_per_s = 0;  ///< Estimated spending in millitokens per second, at `last_attempt`.
+    instant last_attempt;
+    instant last_shortage;      ///< When a request last found too few tokens.
+    std::int64_t unserved = 0;  ///< Requests that found too few tokens since tokens last sufficed.
+    std::map<host_id, lender_memory> lenders;
+    std::map<std::uint64_t, open_loan> open_loans;  ///< By sequence number.
+};
+
+/// Own burst room at `at`, without what is lent: the smallest of the current and the former shares that still count.
+[[nodiscard]] millitokens own_burst(const contract_share& share, instant at);
+
+/// Own rate at `at`, without what is lent.
+[[nodiscard]] millitokens own_rate(const contract_share& share, instant at);
+
+/// Upper bound of the tokens that this host may hold at `at`.
+[[nodiscard]] millitokens burst_room(const contract_share& share, instant at);
+
+/// Rate at which tokens accrue at `at`, per second.
+[[nodiscard]] millitokens accrual_rate(const contract_share& share, instant at);
+
+/// Accrues tokens up to `now`, ending loans and changeovers at their own instants on the way.
+void accrue(contract_share& share, instant now);
+
+/// Adds a request to the demand estimate.
+void note_demand(contract_share& share, instant now);
+
+/// Spending to be expected, in millitokens per second. Falls quickly once requests stop coming.
+[[nodiscard]] millitokens expected_demand(const contract_share& share, instant now);
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/contracts/lending.cpp
@@ -0,0 +1,141 @@
+#include <algorithm>
+#include <vector>
+
+#include "camphorstack/contracts/shares.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+constexpr std::int64_t milliseconds_per_second = 1000;
+/// A lender keeps the tokens that it expects to spend in this time; after it, a loan of its own can have arrived.
+constexpr millis kept_demand{25};
+/// A lender that ran short this recently lends nothing.
+constexpr millis shortage_memory{25};
+/// A lender with a request in this time keeps one request's tokens.
+constexpr millis active_time{1000};
+/// Longest loan that `changeover` allows for.
+constexpr millis longest_loan{1000};
+/// A shorter loan would end before the borrower can use it.
+constexpr millis shortest_loan{30};
+
+/// Rounding of both clocks to milliseconds, and clocks that differ by 0.4% in speed.
+millis clock_margin(millis duration) {
+    return millis{2} + duration / 250;
+}
+
+struct offer {
+    millis duration;
+    millitokens tokens = 0;
+    millitokens rate_per_s = 0;
+};
+
+/// What one part, own or borrowed, still has to lend.
+struct lendable_part {
+    std::uint64_t source = 0;
+    millitokens burst = 0;
+    millitokens rate_per_s = 0;
+    millis longest;  ///< A loan from this part ends by then.
+};
+
+std::vector<lendable_part> lendable_parts(const contract_share& share, instant now, millis longest) {
+    std::vector<lendable_part> parts;
+    for (const auto& part : share.borrowed) {
+        // What was borrowed is lent on only for a time that ends before its own end.
+        const auto left = part.until - now;
+        const auto usable = left - clock_margin(left);
+        if (usable >= shortest_loan) {
+            parts.push_back({part.sequence, part.burst, part.rate_per_s, std::min(usable, longest)});
+        }
+    }
+    parts.push_back({0, own_burst(share, now), own_rate(share, now), longest});
+    for (const auto& lent : share.lent) {
+        const auto found = std::ranges::find(parts, lent.source, &lendable_part::source);
+        if (found != parts.end()) {
+            found->burst = std::max<millitokens>(0, found->burst - lent.burst);
+            found->rate_per_s = std::max<millitokens>(0, found->rate_per_s - lent.rate_per_s);
+        }
+    }
+    return parts;
+}
+
+/// Tokens and rate that the lender does not need itself.
+offer spare_of(const contract_share& share, instant now) {
+    if (share.unserved > 0 && now - share.last_shortage <= shortage_memory) {
+        return {};
+    }
+    const auto demand = expected_demand(share, now);
+    const bool active = share.demand_per_s > 0 && now - share.last_attempt <= active_time;
+    const auto kept = std::max<millitokens>(demand * kept_demand.count / milliseconds_per_second, active ? request_cost : 0);
+    const auto kept_rate = demand + demand / 4;
+    return {{}, std::max<millitokens>(0, share.tokens - kept), std::max<millitokens>(0, accrual_rate(share, now) - kept_rate)};
+}
+
+/// The duration at which the parts that last long enough give the most. Ties go to the longest.
+offer best_offer(const std::vector<lendable_part>& parts, const offer& limit) {
+    offer best;
+    millitokens best_value = 0;
+    for (const auto& candidate : parts) {
+        millitokens burst = 0;
+        millitokens rate = 0;
+        for (const auto& part : parts) {
+            if (part.longest >= candidate.longest) {
+                burst += part.burst;
+                rate += part.rate_per_s;
+            }
+        }
+        const offer made{candidate.longest, std::min(burst, limit.tokens), std::min(rate, limit.rate_per_s)};
+        const auto value = made.tokens + made.rate_per_s * made.duration.count / milliseconds_per_second;
+        if (value > best_value || (value == best_value && made.duration > best.duration)) {
+            best = made;
+            best_value = value;
+        }
+    }
+    return best;
+}
+
+void debit(contract_share& share, const std::vector<lendable_part>& parts, const offer& made, instant now) {
+    share.tokens -= made.tokens;
+    auto burst = made.tokens;
+    auto rate = made.rate_per_s;
+    for (const auto& part : parts) {
+        if (part.longest < made.duration) {
+            continue;
+        }
+        const lent_part taken{part.source, std::min(burst, part.burst), std::min(rate, part.rate_per_s),
+                              now + made.duration + clock_margin(made.duration)};
+        burst -= taken.burst;
+        rate -= taken.rate_per_s;
+        if (taken.burst > 0 || taken.rate_per_s > 0) {
+            share.lent.push_back(taken);
+        }
+    }
+}
+
+}  // namespace
+
+loan_grant grant_loan(share_state& state, const host_id& borrower, const loan_request& request, instant now) {
+    loan_grant grant{request.sequence, request.workspace, request.epoch, 0, 0, request.duration};
+    const auto found = state.contracts.find(request.workspace);
+    if (found == state.contracts.end() || request.epoch != state.members.epoch || borrower == state.self) {
+        return grant;
+    }
+    auto& share = found->second;
+    accrue(share, now);
+    const auto longest = std::min({request.duration, state.settings.loan_duration, longest_loan});
+    auto limit = spare_of(share, now);
+    limit.tokens = std::clamp<millitokens>(request.tokens, 0, limit.tokens);
+    limit.rate_per_s = std::clamp<millitokens>(request.rate_per_s, 0, limit.rate_per_s);
+    const auto parts = lendable_parts(share, now, longest);
+    const auto made = best_offer(parts, limit);
+    if (made.tokens == 0 && made.rate_per_s == 0) {
+        return grant;
+    }
+    debit(share, parts, made, now);
+    grant.tokens = made.tokens;
+    grant.rate_per_s = made.rate_per_s;
+    grant.duration = made.duration;
+    return grant;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/contracts/shares.cpp
@@ -0,0 +1,73 @@
+#include "camphorstack/contracts/shares.hpp"
+
+#include <algorithm>
+
+#include "camphorstack/hosts/owners.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+void choose_holders(const share_state& state, const workspace_id& id, contract_share& share) {
+    share.holders = choose_share_holders(state.members, id, state.settings.max_holders, state.settings.all_hold_up_to);
+    const bool holds = std::ranges::binary_search(share.holders, state.self);
+    share.parts = holds ? share.holders.size() : 0;
+    std::erase_if(share.lenders, [&share](const auto& entry) { return !std::ranges::binary_search(share.holders, entry.first); });
+}
+
+}  // namespace
+
+void shares_on_document(share_state& state, const document& content, instant now) {
+    if (content.version <= state.version && state.version != 0) {
+        return;
+    }
+    state.version = content.version;
+    std::erase_if(state.contracts, [&content](const auto& entry) { return find_workspace(content, entry.first) == nullptr; });
+    for (const auto& item : content.workspaces) {
+        const auto [entry, added] = state.contracts.try_emplace(item.id);
+        auto& share = entry->second;
+        if (added) {
+            share.updated = now;
+            share.former.push_back({0, now + state.settings.changeover});
+            choose_holders(state, item.id, share);
+        }
+        accrue(share, now);
+        share.rate_per_s = item.rate_per_s * request_cost;
+        share.burst = item.burst * request_cost;
+        share.tokens = std::min(share.tokens, burst_room(share, now));
+    }
+}
+
+void shares_on_members(share_state& state, const member_list& members, instant now) {
+    if (members.epoch <= state.members.epoch) {
+        return;
+    }
+    const bool successive = state.members.epoch != 0 && members.epoch == state.members.epoch + 1;
+    state.members = members;
+    for (auto& [id, share] : state.contracts) {
+        accrue(share, now);
+        share.former.push_back({successive ? share.parts : 0, now + state.settings.changeover});
+        choose_holders(state, id, share);
+        share.tokens = std::min(share.tokens, burst_room(share, now));
+    }
+}
+
+bool try_spend(share_state& state, const workspace_id& id, instant now) {
+    const auto found = state.contracts.find(id);
+    if (found == state.contracts.end()) {
+        return false;
+    }
+    auto& share = found->second;
+    accrue(share, now);
+    if (share.tokens < request_cost) {
+        share.last_attempt = std::max(share.last_attempt, now);
+        share.last_shortage = now;
+        ++share.unserved;
+        return false;
+    }
+    share.tokens -= request_cost;
+    note_demand(share, now);
+    return true;
+}
+
+}  // namespace camphorstack
--- a/src/camphorstack/contracts/shares.hpp
+++ b/src/camphorstack/contracts/shares.hpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "camphorstack/contracts/contract_share.hpp"
 #include "camphorstack/contracts/loan.hpp"
 #include "camphorstack/document/document.hpp"
 #include "camphorstack/hosts/member.hpp"
@@ -34,12 +35,20 @@
 struct share_state {
     host_id self;
     share_settings settings;
+    document_version version = 0;  ///< Of the document that the contracts come from.
+    member_list members;           ///< Newest agreed list known; epoch 0 before the first.
+    std::map<workspace_id, contract_share> contracts;
+    std::uint64_t next_sequence = 0;  ///< Of loan requests. Starts at random, so that a restarted process reuses none.
 };
 
-/// Takes over the rates and bursts of a newer document.
+/// Takes over the rates and bursts of a newer document. A changed contract counts at once; a new one starts with empty tokens
+/// and without a share for `changeover`.
 void shares_on_document(share_state& state, const document& content, instant now);
 
-/// Takes over a newer agreed member list; an older epoch is ignored.
+/// Takes over a newer agreed member list; an older epoch is ignored. On the first list, and when epochs were skipped, this
+/// host has no share for `changeover` and lives on loans: a skipped list may have given it less than both lists that it knows,
+/// and others may still act on it. A host that stays within the recency bound skips no epoch if the list is written at most
+/// every 3 s.
 void shares_on_members(share_state& state, const member_list& members, instant now);
 
 /// Spends one request's tokens. False if this host's tokens do not suffice; the caller may wait for a loan.
