Find a connection's group by a map of open connections

Cause: the groups already choose ids that are unique within a host and use the upper bits; the host masked these bits, so every event of a connection was lost. Ruled out: membership and evidence, since all hosts reported serving=recent and the owner had its duty. Change: the host remembers which group opened a connection.

--- a/src/camphorstack/hosts/groups.cpp
+++ b/src/camphorstack/hosts/groups.cpp
@@ -9,22 +9,9 @@
 
 namespace {
 
-// A group numbers its connections on its own; the upper bits tell the groups of a host apart.
-constexpr unsigned group_number_shift = 40;
-constexpr connection_id local_connection_mask = (connection_id{1} << group_number_shift) - 1;
-
-connection_id to_host_connection(const group_slot& slot, connection_id local) {
-    return (slot.number << group_number_shift) | local;
-}
-
 group_slot* slot_of_connection(host_state& state, connection_id connection) {
-    const auto number = connection >> group_number_shift;
-    for (auto& slot : state.groups | std::views::values) {
-        if (slot.number == number) {
-            return &slot;
-        }
-    }
-    return nullptr;
+    const auto found = state.connections.find(connection);
+    return found == state.connections.end() ? nullptr : &state.groups.at(found->second);
 }
 
 void reply_to_origin(host_state& state, const reply_to_request& answer, host_actions& actions) {
@@ -42,18 +29,15 @@
     instant now;
     host_actions& actions;
 
-    void operator()(open_connection action) const {
-        action.connection = to_host_connection(this->slot, action.connection);
-        this->actions.emplace_back(std::move(action));
-    }
-    void operator()(close_connection action) const {
-        action.connection = to_host_connection(this->slot, action.connection);
+    void operator()(const open_connection& action) const {
+        this->state.connections[action.connection] = this->slot.group.id;
         this->actions.emplace_back(action);
     }
-    void operator()(send_call action) const {
-        action.connection = to_host_connection(this->slot, action.connection);
-        this->actions.emplace_back(std::move(action));
+    void operator()(const close_connection& action) const {
+        this->state.connections.erase(action.connection);
+        this->actions.emplace_back(action);
     }
+    void operator()(const send_call& action) const { this->actions.emplace_back(action); }
     void operator()(const reply_to_request& answer) const { reply_to_origin(this->state, answer, this->actions); }
     void operator()(const reserve_term& request) const {
         start_term_reservation(this->state, request.database, request.above, this->now, this->actions);
@@ -69,8 +53,7 @@
 
 group_slot& slot_for(host_state& state, const database_id& id) {
     auto& slot = state.groups[id];
-    if (slot.number == 0) {
-        slot.number = state.groups.size();
+    if (slot.group.id.empty()) {
         slot.group.id = id;
         slot.group.settings = state.settings.group;
     }
@@ -194,20 +177,19 @@
 }
 
 void receive_endpoint_connected(host_state& state, connection_id connection, instant now, host_actions& actions) {
-    with_slot(state, slot_of_connection(state, connection), now, actions, [&](group_slot& slot, group_actions& wanted) {
-        group_connected(slot.group, connection & local_connection_mask, now, wanted);
-    });
+    with_slot(state, slot_of_connection(state, connection), now, actions,
+              [&](group_slot& slot, group_actions& wanted) { group_connected(slot.group, connection, now, wanted); });
 }
 
 void receive_endpoint_closed(host_state& state, connection_id connection, instant now, host_actions& actions) {
-    with_slot(state, slot_of_connection(state, connection), now, actions, [&](group_slot& slot, group_actions& wanted) {
-        group_closed(slot.group, connection & local_connection_mask, now, wanted);
-    });
+    with_slot(state, slot_of_connection(state, connection), now, actions,
+              [&](group_slot& slot, group_actions& wanted) { group_closed(slot.group, connection, now, wanted); });
+    state.connections.erase(connection);
 }
 
 void receive_endpoint_answer(host_state& state, const endpoint_answered& event, instant now, host_actions& actions) {
     with_slot(state, slot_of_connection(state, event.connection), now, actions, [&](group_slot& slot, group_actions& wanted) {
-        group_answered(slot.group, event.connection & local_connection_mask, event.answer, now, wanted);
+        group_answered(slot.group, event.connection, event.answer, now, wanted);
     });
 }
 
--- a/src/camphorstack/hosts/host_state.hpp
+++ b/src/camphorstack/hosts/host_state.hpp
@@ -30,7 +30,6 @@
 
 /// A database group at this host and the hosts that run it by this host's view.
 struct group_slot {
-    std::uint64_t number = 0;  ///< High part of the connection ids that leave this host's decisions.
     group_hosts hosts;
     group_duty duty = group_duty::none;
     group_state group;
@@ -53,6 +52,7 @@
     member_list members;
     std::vector<host_id> watchers;  ///< Of `members`.
     std::map<database_id, group_slot> groups;
+    std::map<connection_id, database_id> connections;  ///< Open connections and the group that each belongs to.
     std::map<request_id, pending_request> pending;
     /// Replies of this host's groups to its own callers' requests; taken at the end of the step, so that a group never
     /// changes the pending requests while they are being walked.
