--- /dev/null
+++ b/tests/endpoints/group_workload.hpp
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <optional>
+
+#include "endpoints/group_bench.hpp"
+
+namespace camphorstack::tests {
+
+/// Clients that write, read their own writes and run transactions, and a judge of what they were told.
+class group_workload {
+public:
+    group_workload(group_bench& used, std::size_t count) : bench(used), clients(count) {
+        this->bench.each_ms = [this] { this->step_clients(); };
+    }
+
+    /// Heals everything, lets requests finish and judges all replies.
+    std::vector<std::string> judge() {
+        this->stopped = true;
+        for (std::size_t index = 0; index < this->bench.instances.size(); ++index) {
+            this->bench.heal(index);
+        }
+        this->bench.run(millis{9000});
+        const auto final_primary = this->bench.primary();
+        if (final_primary == this->bench.instances.size()) {
+            this->violations.emplace_back("no primary at the end");
+            return this->violations;
+        }
+        for (const auto& [id, request] : this->bench.submitted) {
+            this->judge_request(final_primary, request);
+        }
+        for (const auto& entry : this->bench.instances[final_primary].model.log) {
+            this->judge_entry(entry);
+        }
+        return this->violations;
+    }
+
+    std::size_t done = 0;
+    std::size_t failed = 0;
+
+private:
+    struct client {
+        request_id waiting;
+        instant next;
+        log_position session;
+        std::string acknowledged;  ///< Key of the last acknowledged write.
+        std::string transaction;
+        int statements = 0;
+    };
+
+    void step_clients() {
+        for (std::size_t index = 0; index < this->clients.size(); ++index) {
+            auto& one = this->clients[index];
+            const auto found = this->bench.replies.find(one.waiting);
+            if (found != this->bench.replies.end()) {
+                this->take_reply(one, found->second.front().reply);
+                one.waiting.clear();
+                one.next = this->bench.now + millis{this->bench.pick(0, 15)};
+            }
+            if (one.waiting.empty() && this->bench.now >= one.next && !this->stopped) {
+                this->send_next(one);
+            }
+        }
+    }
+
+    void take_reply(client& one, const database_reply& reply) {
+        const auto& request = this->bench.submitted.at(reply.id);
+        const bool ok = reply.outcome == request_outcome::done;
+        ok ? ++this->done : ++this->failed;
+        if (request.kind == request_kind::begin) {
+            one.transaction = ok ? reply.transaction : "";
+            one.statements = 0;
+        } else if (!request.transaction.empty() && (!ok || request.kind == request_kind::commit)) {
+            one.transaction.clear();
+        }
+        if (!ok) {
+            return;
+        }
+        one.session = reply.session;
+        if (request.kind == request_kind::write) {
+            one.acknowledged = request.statement.substr(4, request.statement.rfind(' ') - 4);
+        } else if (request.kind == request_kind::read && reply.body != "v" + request.statement.substr(4)) {
+            this->violations.push_back("read " + request.statement + " answered '" + reply.body + "' by " + reply.served_by);
+        }
+    }
+
+    void send_next(client& one) {
+        database_request request;
+        request.session = one.session;
+        request.time_left = millis{this->bench.pick(500, 6000)};
+        const auto key = "k" + std::to_string(++this->keys);
+        const auto choice = this->bench.pick(0, 9);
+        if (!one.transaction.empty()) {
+            const bool ends = ++one.statements > 2;
+            request.kind = ends ? request_kind::commit : request_kind::statement;
+            request.statement = ends ? "" : "PUT t" + one.transaction + "/" + key + " x";
+            request.transaction = one.transaction;
+        } else if (choice == 0) {
+            request.kind = request_kind::begin;
+        } else if (choice < 5 || one.acknowledged.empty()) {
+            request.kind = request_kind::write;
+            request.statement = "PUT " + key + " v" + key;
+            request.idempotency_key = choice < 3 ? key : "";
+        } else {
+            request.statement = "GET " + one.acknowledged;
+            request.max_age = choice == 5 ? std::optional(millis{50}) : std::nullopt;
+        }
+        const auto host = static_cast<std::size_t>(this->bench.pick(0, static_cast<std::int64_t>(this->bench.hosts.size()) - 1));
+        one.waiting = this->bench.submit(one.transaction.empty() ? host : this->host_of(one), std::move(request));
+        this->sent_to[one.waiting] = one.transaction.empty() ? host : this->host_of(one);
+    }
+
+    std::size_t host_of(const client& one) const {
+        return this->sent_to.at(one.transaction.substr(one.transaction.find(':') + 1));
+    }
+
+    void judge_request(std::size_t final_primary, const database_request& request) {
+        const auto found = this->bench.replies.find(request.id);
+        const auto count = found == this->bench.replies.end() ? 0 : found->second.size();
+        if (count != 1) {
+            this->violations.push_back(request.id + " has " + std::to_string(count) + " replies");
+            return;
+        }
+        const auto& reply = found->second.front().reply;
+        const bool changes = request.kind == request_kind::write;
+        if (changes && reply.outcome == request_outcome::done && !this->bench.holds(final_primary, request.id)) {
+            this->violations.push_back("acknowledged " + request.id + " is lost");
+        }
+        if (reply.outcome == request_outcome::not_run && this->bench.runs(request.id) > 0) {
+            this->violations.push_back("not_run " + request.id + " ran");
+        }
+        if (request.idempotency_key.empty() && this->bench.runs(request.id) > 1) {
+            this->violations.push_back("non-idempotent " + request.id + " ran more than once");
+        }
+    }
+
+    void judge_entry(const stand_ins::log_entry& entry) {
+        std::set<std::string> owners;
+        for (const auto& statement : entry.statements) {
+            owners.insert(statement.starts_with("PUT t") ? statement.substr(0, statement.find('/')) : statement);
+        }
+        if (owners.size() > 1) {
+            this->violations.push_back("entry of " + entry.request + " mixes statements");
+        }
+    }
+
+    group_bench& bench;
+    std::vector<client> clients;
+    std::map<request_id, std::size_t> sent_to;
+    std::vector<std::string> violations;
+    bool stopped = false;
+    std::size_t keys = 0;
+};
+
+}  // namespace camphorstack::tests
