Add the links between peers

Hosts need to send each other messages and to tell quickly that one cannot be reached. One link for each direction, opened by the sender: a link for each pair needs a rule for simultaneous opening, and the closing of an idle one can lose a message of the other side.

--- /dev/null
+++ b/src/camphorstack/links/peer_handshake.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "camphorstack/support/ids.hpp"
+
+namespace camphorstack {
+
+/// Largest frame in bytes before both sides have proved that they know the secret.
+constexpr std::size_t handshake_frame_limit = 1024;
+
+constexpr std::size_t nonce_bytes = 32;
+constexpr std::size_t proof_bytes = 32;  ///< Length of an HMAC-SHA256.
+
+using handshake_nonce = std::array<std::uint8_t, nonce_bytes>;
+using handshake_proof = std::array<std::uint8_t, proof_bytes>;
+
+/// First frame of a link, sent by the host that opens it.
+struct peer_hello {
+    host_id from;
+    host_id to;
+    handshake_nonce nonce{};
+
+    friend bool operator==(const peer_hello&, const peer_hello&) = default;
+};
+
+/// Throws format_error if an id is longer than 255 bytes.
+[[nodiscard]] std::vector<std::uint8_t> encode_hello(const peer_hello& hello);
+/// Throws format_error if the bytes are not a hello of this protocol version.
+[[nodiscard]] peer_hello decode_hello(std::span<const std::uint8_t> frame);
+
+/// Which side a proof is for. A proof of one side is never valid for the other, so it cannot be sent back to its author.
+enum class proof_side : std::uint8_t { opener, acceptor };
+
+/// Everything that both sides' proofs cover.
+struct handshake_transcript {
+    peer_hello hello;
+    handshake_nonce challenge{};  ///< The acceptor's nonce.
+
+    friend bool operator==(const handshake_transcript&, const handshake_transcript&) = default;
+};
+
+/// HMAC-SHA256 over the side, both nonces and both host ids.
+[[nodiscard]] handshake_proof make_proof(const std::string& secret, proof_side side, const handshake_transcript& transcript);
+
+/// Compares in constant time. False for a frame of another length.
+[[nodiscard]] bool proof_matches(const handshake_proof& expected, std::span<const std::uint8_t> frame);
+
+/// Random bytes of the operating system. Throws io_error if there are none.
+[[nodiscard]] handshake_nonce make_nonce();
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/links/peer_link.cpp
@@ -0,0 +1,152 @@
+#include "camphorstack/links/peer_link.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphorstack/support/errors.hpp"
+
+namespace camphorstack {
+
+peer_link::peer_link(link_direction direction_of_messages, const host_id& own_id, const std::string& fleet_secret, host_id other,
+                     callbacks target)
+    : way(direction_of_messages), self(own_id), secret(fleet_secret), peer(std::move(other)), notify(std::move(target)) {}
+
+void peer_link::start(fd_watcher& watcher, g_pointer<GSocketConnection> connection) {
+    frame_socket::callbacks calls;
+    calls.frame = [this](std::span<const std::uint8_t> frame) { this->on_frame(frame); };
+    calls.broken = [this](socket_end cause) { this->on_broken(cause); };
+    this->socket = std::make_unique<frame_socket>(watcher, std::move(connection), handshake_frame_limit, std::move(calls));
+    if (this->way == link_direction::incoming) {
+        this->phase = link_phase::await_hello;
+        return;
+    }
+    this->phase = link_phase::await_challenge;
+    this->transcript.hello = {this->self, this->peer, make_nonce()};
+    this->send_now(encode_hello(this->transcript.hello));
+}
+
+bool peer_link::send(std::span<const std::uint8_t> message) {
+    if (!this->socket->append(message)) {
+        return false;
+    }
+    this->socket->flush();
+    return true;
+}
+
+void peer_link::close_idle() {
+    this->send_now({});
+    this->close();
+}
+
+void peer_link::close() {
+    this->phase = link_phase::ended;
+    if (this->socket) {
+        this->socket->close();
+    }
+}
+
+void peer_link::end(link_end cause) {
+    if (this->phase != link_phase::ended) {
+        this->close();
+        this->notify.ended(*this, cause);
+    }
+}
+
+void peer_link::on_frame(std::span<const std::uint8_t> frame) {
+    try {
+        switch (this->phase) {
+            case link_phase::await_hello:
+                return this->on_hello(frame);
+            case link_phase::await_challenge:
+                return this->on_challenge(frame);
+            case link_phase::await_opener:
+                return this->on_opener_proof(frame);
+            case link_phase::await_acceptor:
+                return this->on_acceptor_proof(frame);
+            case link_phase::ready:
+                return this->on_message(frame);
+            case link_phase::connecting:
+            case link_phase::ended:
+                return;
+        }
+    } catch (const format_error&) {
+        this->end(link_end::garbage);
+    }
+}
+
+void peer_link::on_broken(socket_end cause) {
+    if (cause == socket_end::oversized) {
+        this->end(link_end::garbage);
+    } else if (this->phase == link_phase::await_acceptor) {
+        // The acceptor has seen our proof and closed instead of answering: it holds another secret.
+        this->end(cause == socket_end::closed ? link_end::wrong_secret : link_end::broken);
+    } else {
+        this->end(link_end::broken);
+    }
+}
+
+void peer_link::on_hello(std::span<const std::uint8_t> frame) {
+    this->transcript.hello = decode_hello(frame);
+    if (this->transcript.hello.to != this->self || this->transcript.hello.from.empty()) {
+        throw format_error("peer hello for another host");
+    }
+    this->peer = this->transcript.hello.from;
+    this->transcript.challenge = make_nonce();
+    this->phase = link_phase::await_opener;
+    this->send_now(this->transcript.challenge);
+}
+
+void peer_link::on_challenge(std::span<const std::uint8_t> frame) {
+    if (frame.size() != nonce_bytes) {
+        throw format_error("peer challenge of another length");
+    }
+    std::ranges::copy(frame, this->transcript.challenge.begin());
+    this->phase = link_phase::await_acceptor;
+    this->send_now(make_proof(this->secret, proof_side::opener, this->transcript));
+}
+
+void peer_link::on_opener_proof(std::span<const std::uint8_t> frame) {
+    if (!proof_matches(make_proof(this->secret, proof_side::opener, this->transcript), frame)) {
+        this->end(link_end::wrong_secret);
+        return;
+    }
+    this->send_now(make_proof(this->secret, proof_side::acceptor, this->transcript));
+    this->become_ready();
+}
+
+void peer_link::on_acceptor_proof(std::span<const std::uint8_t> frame) {
+    if (!proof_matches(make_proof(this->secret, proof_side::acceptor, this->transcript), frame)) {
+        this->end(link_end::wrong_secret);
+        return;
+    }
+    this->become_ready();
+}
+
+void peer_link::on_message(std::span<const std::uint8_t> frame) {
+    if (this->way == link_direction::outgoing) {
+        throw format_error("message on a link of the other direction");
+    }
+    if (frame.empty()) {
+        this->end(link_end::idle);
+        return;
+    }
+    peer_message message = decode(frame);
+    if (message.from != this->peer) {
+        throw format_error("message in another host's name");
+    }
+    this->notify.received(*this, std::move(message));
+}
+
+void peer_link::become_ready() {
+    this->phase = link_phase::ready;
+    this->socket->set_frame_limit(peer_frame_limit);
+    this->notify.ready(*this);
+}
+
+void peer_link::send_now(std::span<const std::uint8_t> frame) {
+    if (this->socket && this->socket->append(frame)) {
+        this->socket->flush();
+    }
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/links/peer_links.cpp
@@ -0,0 +1,398 @@
+#include "camphorstack/links/peer_links.hpp"
+
+#include <glog/logging.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "camphorstack/links/connect_attempt.hpp"
+#include "camphorstack/links/peer_link.hpp"
+#include "camphorstack/support/deferred_calls.hpp"
+#include "camphorstack/support/errors.hpp"
+#include "camphorstack/support/socket_address.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+constexpr guint sweep_interval_ms = 250;
+/// Connections that the kernel keeps until they are accepted: many hosts connect at once after a restart of their neighbours.
+constexpr int listen_backlog = 512;
+/// Remote addresses whose rejected links have been logged; the set starts anew when it is full.
+constexpr std::size_t logged_addresses = 1024;
+
+/// A message that waits for its link.
+struct waiting_message {
+    peer_body body;
+    std::vector<std::uint8_t> bytes;
+};
+
+/// A link and what the table of links keeps about it.
+struct link_entry {
+    std::shared_ptr<peer_link> link;
+    std::string address;  ///< Of the peer: its listening address for an outgoing link, its IP address for an incoming one.
+    instant started;
+    instant last_used;
+    std::deque<waiting_message> waiting;
+    g_pointer<GCancellable> attempt;  ///< Cancels the attempt to connect.
+    bool proved = false;              ///< An incoming link whose other side has proved the secret.
+};
+
+std::string remote_ip(GSocketConnection* connection) {
+    const auto address = g_adopt(g_socket_connection_get_remote_address(connection, nullptr));
+    const std::string text = format_socket_address(address.get());
+    return text.substr(0, text.rfind(':'));
+}
+
+}  // namespace
+
+struct peer_links::state {
+    state(member own, std::string fleet_secret, event_sink target, peer_link_limits bounds)
+        : self(std::move(own)), secret(std::move(fleet_secret)), sink(std::move(target)), limits(bounds) {}
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+    state(state&&) = delete;
+    state& operator=(state&&) = delete;
+    ~state();
+
+    void listen();
+    void send(const send_to_peer& action);
+    link_entry& open(const host_id& peer, const std::string& address);
+    void connected(peer_link* link, g_pointer<GSocketConnection> connection);
+    void accept(GSocketConnection* connection);
+    void on_ready(peer_link& link);
+    void on_outgoing_ready(link_entry& entry);
+    void on_ended(peer_link& link, link_end cause);
+    void on_outgoing_ended(const host_id& peer, link_end cause);
+    void on_incoming_ended(peer_link& link, link_end cause);
+    void sweep();
+    void sweep_outgoing(instant now);
+    void sweep_incoming(instant now);
+    void emit(host_event event);
+    void retire(std::shared_ptr<peer_link> link);
+    link_entry* find_outgoing(const peer_link* link);
+    peer_link::callbacks link_callbacks();
+
+    member self;
+    std::string secret;
+    event_sink sink;
+    peer_link_limits limits;
+    peer_link_counters counters;
+    monotonic_clock time;
+    deferred_calls later;
+    fd_watcher watcher;
+    g_pointer<GSocketService> service;
+    g_pointer<GSocketClient> client;
+    g_pointer<GSocketAddress> bound;
+    gulong incoming_handler = 0;
+    g_source_handle sweeper;
+    std::map<host_id, link_entry> outgoing;
+    std::map<const peer_link*, link_entry> incoming;
+    std::set<host_id> reachable;
+    std::set<host_id> unreachable;
+    std::set<std::pair<std::string, link_end>> rejected;
+    std::size_t unproved = 0;
+};
+
+peer_links::state::~state() {
+    if (this->service) {
+        g_signal_handler_disconnect(this->service.get(), this->incoming_handler);
+        g_socket_service_stop(this->service.get());
+        g_socket_listener_close(G_SOCKET_LISTENER(this->service.get()));
+    }
+    for (auto& [peer, entry] : this->outgoing) {
+        if (entry.attempt) {
+            g_cancellable_cancel(entry.attempt.get());
+        }
+    }
+}
+
+void peer_links::state::listen() {
+    const auto address = parse_socket_address(this->self.address);
+    this->service = g_adopt(g_socket_service_new());
+    this->client = g_adopt(g_socket_client_new());
+    g_socket_client_set_enable_proxy(this->client.get(), FALSE);
+    GError* raw = nullptr;
+    GSocketAddress* effective = nullptr;
+    auto* listener = G_SOCKET_LISTENER(this->service.get());
+    g_socket_listener_set_backlog(listener, listen_backlog);
+    const gboolean listening = g_socket_listener_add_address(listener, address.get(), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
+                                                             nullptr, &effective, &raw);
+    const g_error_pointer failure(raw);
+    if (!listening) {
+        throw io_error("cannot listen for peers on " + this->self.address + ": " + failure->message);
+    }
+    this->bound = g_adopt(effective);
+    const auto on_incoming = +[](GSocketService*, GSocketConnection* connection, GObject*, gpointer data) -> gboolean {
+        static_cast<state*>(data)->accept(connection);
+        return TRUE;
+    };
+    this->incoming_handler = g_signal_connect(this->service.get(), "incoming", G_CALLBACK(on_incoming), this);
+    const auto on_sweep = +[](gpointer data) -> gboolean {
+        static_cast<state*>(data)->sweep();
+        return G_SOURCE_CONTINUE;
+    };
+    this->sweeper = g_source_handle(g_timeout_add(sweep_interval_ms, on_sweep, this));
+    g_socket_service_start(this->service.get());
+}
+
+void peer_links::state::emit(host_event event) {
+    this->later.post([this, event = std::move(event)]() mutable { this->sink(std::move(event)); });
+}
+
+/// Links end inside their own callbacks, so they are destroyed later.
+void peer_links::state::retire(std::shared_ptr<peer_link> link) {
+    link->close();
+    this->later.post([kept = std::move(link)]() {});
+}
+
+peer_link::callbacks peer_links::state::link_callbacks() {
+    peer_link::callbacks calls;
+    calls.ready = [this](peer_link& link) { this->on_ready(link); };
+    calls.received = [this](peer_link& link, peer_message message) {
+        this->incoming.at(&link).last_used = this->time.now();
+        this->emit(std::move(message));
+    };
+    calls.ended = [this](peer_link& link, link_end cause) { this->on_ended(link, cause); };
+    return calls;
+}
+
+void peer_links::state::send(const send_to_peer& action) {
+    std::vector<std::uint8_t> bytes;
+    try {
+        bytes = encode(action.message);
+    } catch (const format_error&) {
+        ++this->counters.oversized;
+        this->emit(peer_not_sent{action.peer, action.message.body});
+        return;
+    }
+    auto found = this->outgoing.find(action.peer);
+    if (found != this->outgoing.end() && found->second.address != action.address) {
+        // The peer was started again elsewhere; nothing reaches it on the old link.
+        found->second.link->end(link_end::broken);
+        found = this->outgoing.end();
+    }
+    link_entry& entry = found == this->outgoing.end() ? this->open(action.peer, action.address) : found->second;
+    if (entry.link->is_ready()) {
+        entry.last_used = this->time.now();
+        if (!entry.link->send(bytes)) {
+            entry.link->end(link_end::overflow);
+            this->emit(peer_not_sent{action.peer, action.message.body});
+        }
+    } else if (entry.waiting.size() < this->limits.waiting_messages) {
+        entry.waiting.push_back({action.message.body, std::move(bytes)});
+    } else {
+        this->emit(peer_not_sent{action.peer, action.message.body});
+    }
+}
+
+link_entry& peer_links::state::open(const host_id& peer, const std::string& address) {
+    auto link = std::make_shared<peer_link>(link_direction::outgoing, this->self.id, this->secret, peer, this->link_callbacks());
+    peer_link* opened = link.get();
+    const instant now = this->time.now();
+    link_entry& entry = this->outgoing[peer];
+    entry = link_entry{std::move(link), address, now, now, {}, nullptr, false};
+    try {
+        const auto target = parse_socket_address(address);
+        // A link's entry cancels its attempt before the link goes, so the callback finds the link alive.
+        entry.attempt = start_connect(this->client.get(), target.get(), [this, opened](g_pointer<GSocketConnection> connection) {
+            this->connected(opened, std::move(connection));
+        });
+    } catch (const format_error&) {
+        this->later.post([kept = entry.link]() { kept->end(link_end::unreachable); });
+    }
+    return entry;
+}
+
+void peer_links::state::connected(peer_link* link, g_pointer<GSocketConnection> connection) {
+    link_entry* entry = this->find_outgoing(link);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->attempt.reset();
+    if (!connection) {
+        link->end(link_end::unreachable);
+        return;
+    }
+    try {
+        link->start(this->watcher, std::move(connection));
+    } catch (const error&) {
+        link->end(link_end::unreachable);
+    }
+}
+
+void peer_links::state::accept(GSocketConnection* connection) {
+    if (this->unproved >= this->limits.unproved_links) {
+        ++this->counters.turned_away;
+        g_io_stream_close(G_IO_STREAM(connection), nullptr, nullptr);
+        return;
+    }
+    auto link = std::make_shared<peer_link>(link_direction::incoming, this->self.id, this->secret, "", this->link_callbacks());
+    const instant now = this->time.now();
+    this->incoming[link.get()] = link_entry{link, remote_ip(connection), now, now, {}, nullptr, false};
+    ++this->unproved;
+    try {
+        link->start(this->watcher, g_share(connection));
+    } catch (const error&) {
+        link->end(link_end::broken);
+    }
+}
+
+void peer_links::state::on_ready(peer_link& link) {
+    if (link.direction() == link_direction::outgoing) {
+        this->on_outgoing_ready(this->outgoing.at(link.peer_id()));
+        return;
+    }
+    ++this->counters.accepted;
+    --this->unproved;
+    link_entry& entry = this->incoming.at(&link);
+    entry.proved = true;
+    std::erase_if(this->rejected, [&entry](const auto& item) { return item.first == entry.address; });
+}
+
+void peer_links::state::on_outgoing_ready(link_entry& entry) {
+    const host_id& peer = entry.link->peer_id();
+    ++this->counters.opened;
+    entry.last_used = this->time.now();
+    this->unreachable.erase(peer);
+    if (this->reachable.insert(peer).second) {
+        LOG(INFO) << "event=peer_reachable subject=" << peer << " address=" << entry.address;
+    }
+    this->emit(peer_connected{peer});
+    while (!entry.waiting.empty()) {
+        const waiting_message next = std::move(entry.waiting.front());
+        entry.waiting.pop_front();
+        if (!entry.link->send(next.bytes)) {
+            entry.waiting.push_front(next);
+            entry.link->end(link_end::overflow);
+            return;
+        }
+    }
+}
+
+void peer_links::state::on_ended(peer_link& link, link_end cause) {
+    count_link_end(this->counters, cause);
+    if (link.direction() == link_direction::outgoing) {
+        this->on_outgoing_ended(link.peer_id(), cause);
+    } else {
+        this->on_incoming_ended(link, cause);
+    }
+}
+
+void peer_links::state::on_outgoing_ended(const host_id& peer, link_end cause) {
+    const auto found = this->outgoing.find(peer);
+    link_entry entry = std::move(found->second);
+    this->outgoing.erase(found);
+    if (entry.attempt) {
+        g_cancellable_cancel(entry.attempt.get());
+    }
+    this->reachable.erase(peer);
+    if (this->unreachable.insert(peer).second) {
+        LOG(WARNING) << "event=peer_unreachable subject=" << peer << " address=" << entry.address
+                     << " cause=" << to_string(cause);
+    }
+    for (auto& message : entry.waiting) {
+        this->emit(peer_not_sent{peer, std::move(message.body)});
+    }
+    this->emit(peer_disconnected{peer});
+    this->retire(std::move(entry.link));
+}
+
+void peer_links::state::on_incoming_ended(peer_link& link, link_end cause) {
+    const auto found = this->incoming.find(&link);
+    link_entry entry = std::move(found->second);
+    this->incoming.erase(found);
+    if (!entry.proved) {
+        --this->unproved;
+    } else if (cause != link_end::idle) {
+        this->emit(peer_disconnected{link.peer_id()});
+    }
+    if (cause != link_end::idle && cause != link_end::broken) {
+        if (this->rejected.size() >= logged_addresses) {
+            this->rejected.clear();
+        }
+        if (this->rejected.insert({entry.address, cause}).second) {
+            LOG(WARNING) << "event=peer_link_rejected subject=" << entry.address << " cause=" << to_string(cause);
+        }
+    }
+    this->retire(std::move(entry.link));
+}
+
+link_entry* peer_links::state::find_outgoing(const peer_link* link) {
+    const auto found = this->outgoing.find(link->peer_id());
+    return found != this->outgoing.end() && found->second.link.get() == link ? &found->second : nullptr;
+}
+
+void peer_links::state::sweep() {
+    const instant now = this->time.now();
+    this->sweep_outgoing(now);
+    this->sweep_incoming(now);
+}
+
+void peer_links::state::sweep_outgoing(instant now) {
+    std::vector<std::shared_ptr<peer_link>> late;
+    std::vector<host_id> idle;
+    for (const auto& [peer, entry] : this->outgoing) {
+        if (!entry.link->is_ready() && now - entry.started >= this->limits.handshake_time) {
+            late.push_back(entry.link);
+        } else if (entry.link->is_ready() && now - entry.last_used >= this->limits.idle_time) {
+            idle.push_back(peer);
+        }
+    }
+    for (const auto& link : late) {
+        link->end(link_end::timed_out);
+    }
+    for (const auto& peer : idle) {
+        const auto found = this->outgoing.find(peer);
+        found->second.link->close_idle();
+        this->retire(std::move(found->second.link));
+        this->outgoing.erase(found);
+        ++this->counters.idle_closed;
+    }
+}
+
+void peer_links::state::sweep_incoming(instant now) {
+    std::vector<std::shared_ptr<peer_link>> late;
+    std::vector<std::shared_ptr<peer_link>> silent;
+    for (const auto& [key, entry] : this->incoming) {
+        if (!entry.link->is_ready() && now - entry.started >= this->limits.handshake_time) {
+            late.push_back(entry.link);
+        } else if (entry.link->is_ready() && now - entry.last_used >= this->limits.incoming_idle_time) {
+            silent.push_back(entry.link);
+        }
+    }
+    for (const auto& link : late) {
+        link->end(link_end::timed_out);
+    }
+    for (const auto& link : silent) {
+        link->end(link_end::broken);
+    }
+}
+
+peer_links::peer_links(member self, std::string fleet_secret, event_sink sink, peer_link_limits limits)
+    : impl(std::make_unique<state>(std::move(self), std::move(fleet_secret), std::move(sink), limits)) {
+    this->impl->listen();
+}
+
+peer_links::~peer_links() = default;
+
+void peer_links::send(const send_to_peer& action) {
+    this->impl->send(action);
+}
+
+std::string peer_links::bound_address() const {
+    return format_socket_address(this->impl->bound.get());
+}
+
+peer_link_counters peer_links::counters() const {
+    return this->impl->counters;
+}
+
+std::size_t peer_links::open_links() const {
+    return this->impl->outgoing.size() + this->impl->incoming.size();
+}
+
+}  // namespace camphorstack
