--- /dev/null
+++ b/src/camphorstack/links/caller_server.cpp
@@ -0,0 +1,393 @@
+#include "camphorstack/links/caller_server.hpp"
+
+#include <glog/logging.h>
+#include <libsoup/soup.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "camphorstack/links/caller_json.hpp"
+#include "camphorstack/links/report_json.hpp"
+#include "camphorstack/links/request_headers.hpp"
+#include "camphorstack/support/deferred_calls.hpp"
+#include "camphorstack/support/errors.hpp"
+#include "camphorstack/support/socket_address.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_method_not_allowed = 405;
+constexpr unsigned status_too_large = 413;
+constexpr unsigned status_unavailable = 503;
+constexpr millis longest_sweep_interval{1000};
+/// After its deadline a request without an answer is ended as unknown, so that no connection waits forever.
+constexpr millis overdue_grace{5000};
+
+/// One HTTP request, from the moment the server waits for it until its answer is written.
+struct exchange {
+    instant started;
+    std::uint64_t bytes_before = 0;     ///< Received on the connection before this request.
+    std::optional<instant> first_byte;  ///< When the sweep first saw bytes of this request.
+    std::size_t body_bytes = 0;
+    header_check check;
+    bool complete = false;     ///< The whole request has been read.
+    std::uint64_t ticket = 0;  ///< Of a request that was handed to the sink.
+    request_kind kind = request_kind::read;
+    std::int64_t complete_at_us = 0;
+    instant overdue;  ///< When a request with a ticket is ended as unknown.
+};
+
+/// Bytes received on the message's connection since it was opened; 0 if it is closed. libsoup does not tell when the first byte
+/// of a request arrives, which separates an idle connection from a slow sender.
+std::uint64_t received_bytes(SoupServerMessage* message) {
+    GSocket* socket = soup_server_message_get_socket(message);
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    if (socket == nullptr || getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+        return 0;
+    }
+    return info.tcpi_bytes_received;
+}
+
+void cut_connection(SoupServerMessage* message) {
+    if (GSocket* socket = soup_server_message_get_socket(message); socket != nullptr) {
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    }
+}
+
+void respond(SoupServerMessage* message, unsigned status, const char* type, const std::string& body, bool close) {
+    soup_server_message_set_status(message, status, nullptr);
+    soup_server_message_set_response(message, type, SOUP_MEMORY_COPY, body.data(), body.size());
+    if (close) {
+        soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
+    }
+}
+
+std::string body_of(SoupServerMessage* message) {
+    GBytes* bytes = soup_message_body_flatten(soup_server_message_get_request_body(message));
+    gsize size = 0;
+    const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    std::string text(data == nullptr ? "" : data, size);
+    g_bytes_unref(bytes);
+    return text;
+}
+
+std::optional<request_kind> transaction_kind(std::string_view path) {
+    if (path == "/v1/begin") {
+        return request_kind::begin;
+    }
+    if (path == "/v1/commit") {
+        return request_kind::commit;
+    }
+    if (path == "/v1/rollback") {
+        return request_kind::rollback;
+    }
+    return std::nullopt;
+}
+
+refusal reason_of(unsigned status) {
+    constexpr unsigned unauthorized = 401;
+    return status == unauthorized ? refusal::bad_key : refusal::bad_request;
+}
+
+}  // namespace
+
+struct caller_server::state {
+    state(operator_pages shown, event_sink target, caller_server_limits bounds)
+        : pages(std::move(shown)), sink(std::move(target)), limits(bounds) {}
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+    state(state&&) = delete;
+    state& operator=(state&&) = delete;
+    ~state();
+
+    void listen(const std::string& address);
+    void on_started(SoupServerMessage* message);
+    void on_headers(SoupServerMessage* message);
+    void on_chunk(SoupServerMessage* message, std::size_t bytes);
+    void on_request(SoupServerMessage* message, std::string_view path);
+    void forget(SoupServerMessage* message);
+    bool show_page(SoupServerMessage* message, std::string_view path);
+    void take_request(SoupServerMessage* message, exchange& open, std::string_view path);
+    void hand_over(SoupServerMessage* message, exchange& open, caller_request request);
+    void refuse(SoupServerMessage* message, unsigned status, const std::string& text, bool close);
+    void answer(const caller_reply& reply);
+    void sweep();
+    [[nodiscard]] bool is_late(SoupServerMessage* message, exchange& open, instant now) const;
+
+    operator_pages pages;
+    event_sink sink;
+    caller_server_limits limits;
+    monotonic_clock time;
+    bool leaving = false;
+    std::uint64_t last_ticket = 0;
+    std::map<SoupServerMessage*, exchange> exchanges;
+    std::map<std::uint64_t, SoupServerMessage*> tickets;
+    deferred_calls later;
+    g_source_handle sweeper;
+    g_pointer<SoupServer> server;
+};
+
+caller_server::state::~state() {
+    if (this->server) {
+        soup_server_disconnect(this->server.get());
+        g_signal_handlers_disconnect_by_data(this->server.get(), this);
+    }
+    for (auto& [message, open] : this->exchanges) {
+        g_signal_handlers_disconnect_by_data(message, this);
+    }
+}
+
+void caller_server::state::listen(const std::string& address) {
+    const auto target = parse_socket_address(address);
+    this->server = g_adopt(SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, "server-header", "camphorstack", nullptr)));
+    const auto started =
+        +[](SoupServer*, SoupServerMessage* message, gpointer data) { static_cast<state*>(data)->on_started(message); };
+    const auto ended =
+        +[](SoupServer*, SoupServerMessage* message, gpointer data) { static_cast<state*>(data)->forget(message); };
+    const auto headers = +[](SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
+        static_cast<state*>(data)->on_headers(message);
+    };
+    const auto request = +[](SoupServer*, SoupServerMessage* message, const char* path, GHashTable*, gpointer data) {
+        static_cast<state*>(data)->on_request(message, path == nullptr ? "" : path);
+    };
+    const auto sweeping = +[](gpointer data) -> gboolean {
+        static_cast<state*>(data)->sweep();
+        return G_SOURCE_CONTINUE;
+    };
+    g_signal_connect(this->server.get(), "request-started", G_CALLBACK(started), this);
+    g_signal_connect(this->server.get(), "request-finished", G_CALLBACK(ended), this);
+    g_signal_connect(this->server.get(), "request-aborted", G_CALLBACK(ended), this);
+    soup_server_add_early_handler(this->server.get(), nullptr, headers, this, nullptr);
+    soup_server_add_handler(this->server.get(), nullptr, request, this, nullptr);
+    GError* raw = nullptr;
+    const gboolean listening =
+        soup_server_listen(this->server.get(), target.get(), static_cast<SoupServerListenOptions>(0), &raw);
+    const g_error_pointer failure(raw);
+    if (!listening) {
+        throw io_error("cannot listen for callers on " + address + ": " + failure->message);
+    }
+    const millis interval = std::min(longest_sweep_interval, this->limits.request_time / 4);
+    this->sweeper = g_source_handle(g_timeout_add(static_cast<guint>(interval.count), sweeping, this));
+}
+
+void caller_server::state::on_started(SoupServerMessage* message) {
+    if (this->exchanges.size() >= this->limits.connections) {
+        cut_connection(message);
+        return;
+    }
+    exchange& open = this->exchanges[message];
+    open = {};
+    open.started = this->time.now();
+    open.bytes_before = received_bytes(message);
+    const auto chunk = +[](SoupServerMessage* source, GBytes* bytes, gpointer data) {
+        static_cast<state*>(data)->on_chunk(source, g_bytes_get_size(bytes));
+    };
+    const auto gone = +[](SoupServerMessage* source, gpointer data) { static_cast<state*>(data)->forget(source); };
+    g_signal_connect(message, "got-chunk", G_CALLBACK(chunk), this);
+    g_signal_connect(message, "disconnected", G_CALLBACK(gone), this);
+}
+
+void caller_server::state::forget(SoupServerMessage* message) {
+    const auto found = this->exchanges.find(message);
+    if (found != this->exchanges.end()) {
+        this->tickets.erase(found->second.ticket);
+        this->exchanges.erase(found);
+        g_signal_handlers_disconnect_by_data(message, this);
+    }
+}
+
+void caller_server::state::on_headers(SoupServerMessage* message) {
+    const auto found = this->exchanges.find(message);
+    if (found == this->exchanges.end()) {
+        return;
+    }
+    exchange& open = found->second;
+    open.check = check_request_headers(soup_server_message_get_request_headers(message));
+    if (open.check.status != 0) {
+        // The body is still read, because a connection closed with unread bytes can lose the answer on its way.
+        soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+        this->refuse(message, open.check.status, open.check.error, open.check.close_connection);
+    }
+}
+
+void caller_server::state::on_chunk(SoupServerMessage* message, std::size_t bytes) {
+    const auto found = this->exchanges.find(message);
+    if (found == this->exchanges.end()) {
+        return;
+    }
+    exchange& open = found->second;
+    open.body_bytes += bytes;
+    if (open.body_bytes > this->limits.discarded) {
+        cut_connection(message);
+    } else if (open.body_bytes > caller_body_limit && open.check.status == 0) {
+        open.check = {status_too_large, "the body is larger than 256 KiB", "", true};
+        auto* body = soup_server_message_get_request_body(message);
+        soup_message_body_set_accumulate(body, FALSE);
+        soup_message_body_truncate(body);
+    }
+}
+
+void caller_server::state::on_request(SoupServerMessage* message, std::string_view path) {
+    const auto found = this->exchanges.find(message);
+    if (found == this->exchanges.end()) {
+        cut_connection(message);
+        return;
+    }
+    exchange& open = found->second;
+    open.complete = true;
+    open.complete_at_us = g_get_monotonic_time();
+    if (open.check.status != 0) {
+        this->refuse(message, open.check.status, open.check.error, open.check.close_connection);
+    } else if (!this->show_page(message, path)) {
+        this->take_request(message, open, path);
+    }
+}
+
+bool caller_server::state::show_page(SoupServerMessage* message, std::string_view path) {
+    const bool known = path == "/health" || path == "/metrics" || path == "/v1/status" || path == "/v1/explain";
+    const std::string_view method = soup_server_message_get_method(message);
+    if (!known) {
+        return false;
+    }
+    if (method != "GET" && method != "HEAD") {
+        this->refuse(message, status_method_not_allowed, "this path supports GET only", false);
+    } else if (path == "/health") {
+        respond(message, this->leaving ? status_unavailable : status_ok, "text/plain", this->leaving ? "leaving\n" : "ok\n",
+                this->leaving);
+    } else if (path == "/metrics") {
+        respond(message, status_ok, "text/plain; version=0.0.4", this->pages.metrics(), false);
+    } else {
+        const host_report current = this->pages.report();
+        respond(message, status_ok, "application/json",
+                path == "/v1/status" ? format_status(current) : format_explanation(current), false);
+    }
+    return true;
+}
+
+void caller_server::state::take_request(SoupServerMessage* message, exchange& open, std::string_view path) {
+    const auto step = transaction_kind(path);
+    if (!step && path != "/v1/statement") {
+        this->refuse(message, status_not_found, "there is no such path", false);
+        return;
+    }
+    if (std::string_view(soup_server_message_get_method(message)) != "POST") {
+        this->refuse(message, status_method_not_allowed, "this path supports POST only", false);
+        return;
+    }
+    try {
+        const std::string body = body_of(message);
+        this->hand_over(message, open, step ? parse_transaction_body(body, *step) : parse_statement_body(body));
+    } catch (const format_error& failure) {
+        this->refuse(message, status_bad_request, failure.what(), false);
+    }
+}
+
+void caller_server::state::hand_over(SoupServerMessage* message, exchange& open, caller_request request) {
+    request.ticket = ++this->last_ticket;
+    request.key_sha256 = open.check.key_sha256;
+    open.ticket = request.ticket;
+    open.kind = request.kind;
+    open.overdue = this->time.now() + request.timeout + overdue_grace;
+    this->tickets[request.ticket] = message;
+    soup_server_message_pause(message);
+    this->later.post([this, request = std::move(request)]() mutable { this->sink(std::move(request)); });
+}
+
+void caller_server::state::refuse(SoupServerMessage* message, unsigned status, const std::string& text, bool close) {
+    const refusal reason = reason_of(status);
+    respond(message, status, "application/json", format_caller_error(reason, text), close);
+    if (this->pages.measured) {
+        this->pages.measured({"", request_kind::read, request_outcome::not_run, reason, 0});
+    }
+}
+
+void caller_server::state::answer(const caller_reply& reply) {
+    const auto found = this->tickets.find(reply.ticket);
+    if (found == this->tickets.end()) {
+        return;
+    }
+    SoupServerMessage* message = found->second;
+    this->tickets.erase(found);
+    const exchange& open = this->exchanges.at(message);
+    if (this->pages.measured) {
+        this->pages.measured(
+            {reply.workspace, open.kind, reply.outcome, reply.reason, g_get_monotonic_time() - open.complete_at_us});
+    }
+    respond(message, http_status(reply.outcome, reply.reason), "application/json", format_caller_reply(reply), this->leaving);
+    soup_server_message_unpause(message);
+}
+
+bool caller_server::state::is_late(SoupServerMessage* message, exchange& open, instant now) const {
+    if (open.complete) {
+        return false;
+    }
+    if (!open.first_byte && received_bytes(message) > open.bytes_before) {
+        open.first_byte = now;
+    }
+    return open.first_byte ? now - *open.first_byte >= this->limits.request_time : now - open.started >= this->limits.idle_time;
+}
+
+void caller_server::state::sweep() {
+    const instant now = this->time.now();
+    std::vector<SoupServerMessage*> late;
+    std::vector<std::uint64_t> overdue;
+    for (auto& [message, open] : this->exchanges) {
+        if (this->is_late(message, open, now)) {
+            late.push_back(message);
+        }
+        if (open.ticket != 0 && this->tickets.contains(open.ticket) && now >= open.overdue) {
+            overdue.push_back(open.ticket);
+        }
+    }
+    for (SoupServerMessage* message : late) {
+        cut_connection(message);
+    }
+    for (const std::uint64_t ticket : overdue) {
+        caller_reply reply;
+        reply.ticket = ticket;
+        reply.outcome = request_outcome::unknown;
+        reply.reason = refusal::deadline;
+        this->answer(reply);
+    }
+}
+
+caller_server::caller_server(const std::string& address, operator_pages pages, event_sink sink, caller_server_limits limits)
+    : impl(std::make_unique<state>(std::move(pages), std::move(sink), limits)) {
+    this->impl->listen(address);
+}
+
+caller_server::~caller_server() = default;
+
+void caller_server::answer(const caller_reply& reply) {
+    this->impl->answer(reply);
+}
+
+void caller_server::leave_balancer() {
+    this->impl->leaving = true;
+}
+
+std::string caller_server::bound_address() const {
+    GSList* listeners = soup_server_get_listeners(this->impl->server.get());
+    const auto address = g_adopt(g_socket_get_local_address(G_SOCKET(listeners->data), nullptr));
+    g_slist_free(listeners);
+    return format_socket_address(address.get());
+}
+
+std::size_t caller_server::open_requests() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->impl->exchanges, [](const auto& item) { return item.second.ticket != 0; }));
+}
+
+}  // namespace camphorstack
