Add the stand-ins for instances and the platform, and tests of both links over loopback

The process tests need database instances and a platform as separate programs, and the link tests need servers that misbehave. instance speaks the server side of the PostgreSQL protocol around the instance model, with slots, a connection limit, connect and service times, and replication over the same protocol; platform serves the object API with switches for faults. A replica compares its last entry with the primary's before it takes over more, and steps back until both agree: taking over entries after a common index alone would keep entries of a former primary below them.

--- /dev/null
+++ b/tests/links/main_loop.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <functional>
+
+#include "camphorstack/support/clock.hpp"
+#include "camphorstack/support/g_pointer.hpp"
+
+namespace camphorstack::tests {
+
+/// Runs the main loop until the condition holds. False if it does not within `limit`.
+inline bool run_until(const std::function<bool()>& holds, millis limit = millis{3000}) {
+    const monotonic_clock time;
+    const auto end = time.now() + limit;
+    // The timer bounds the wait inside of an iteration.
+    const g_source_handle waker(g_timeout_add(
+        5, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; }, nullptr));
+    while (!holds()) {
+        if (time.now() >= end) {
+            return false;
+        }
+        g_main_context_iteration(nullptr, TRUE);
+    }
+    return true;
+}
+
+inline void run_for(millis span) {
+    run_until([] { return false; }, span);
+}
+
+}  // namespace camphorstack::tests
--- /dev/null
+++ b/tests/stand_ins/log_puller.cpp
@@ -0,0 +1,92 @@
+#include "stand_ins/log_puller.hpp"
+
+#include <algorithm>
+
+#include "camphorstack/support/errors.hpp"
+
+namespace camphorstack::stand_ins {
+
+namespace {
+
+/// A primary that gives no answer for this long is asked on a new connection.
+constexpr millis silence_limit{500};
+
+}  // namespace
+
+log_puller::log_puller(instance_model& replica, const instance_options& limits)
+    : instance(replica), options(limits), last_progress(this->time.now()) {
+    this->turn();
+}
+
+void log_puller::turn() {
+    this->timer.after(this->options.pull_interval, [this] { this->turn(); });
+    if (this->instance.role == endpoint_role::primary || this->instance.followed != this->connected_to ||
+        this->time.now() - this->last_progress > silence_limit + this->options.lag) {
+        this->disconnect();
+    }
+    if (this->instance.role == endpoint_role::primary || this->instance.followed.empty()) {
+        return;
+    }
+    if (!this->connection) {
+        this->connect();
+    } else if (this->ready) {
+        this->ask();
+    }
+}
+
+void log_puller::connect() {
+    this->connected_to = this->instance.followed;
+    this->last_progress = this->time.now();
+    pg_connection_events events{[this] { this->ready = true; }, [this](const PGresult& rows) { this->receive(rows); },
+                                [this] { this->disconnect(); }};
+    this->connection = std::make_unique<pg_connection>(this->connected_to, replication_user, this->watcher, std::move(events));
+}
+
+void log_puller::disconnect() {
+    this->connection.reset();
+    this->connected_to.clear();
+    this->ready = false;
+    this->from = 0;
+}
+
+void log_puller::ask() {
+    this->ready = false;
+    this->asked_at = this->time.now();
+    // The replica's last entry is asked for again, to see whether it is the primary's.
+    const auto first = this->from != 0 ? this->from : std::max<std::uint64_t>(this->instance.log.size(), 1);
+    this->connection->send("SELECT * FROM camphorstack.log('" + std::to_string(first) + "')");
+}
+
+void log_puller::receive(const PGresult& rows) {
+    this->last_progress = this->time.now();
+    try {
+        const auto part = to_log_part(rows);
+        if (this->options.lag == millis{0}) {
+            this->apply(part);
+            return;
+        }
+        this->timer.after(this->options.lag, [this, part, primary = this->connected_to] {
+            if (primary == this->connected_to) {
+                this->apply(part);
+            }
+        });
+    } catch (const format_error&) {
+        this->disconnect();
+    }
+}
+
+void log_puller::apply(const log_part& part) {
+    this->ready = true;
+    const auto& log = this->instance.log;
+    const bool reaches_back = part.first == 1 || (!part.entries.empty() && part.first <= log.size() &&
+                                                  log[part.first - 1].position == part.entries.front().position);
+    if (reaches_back) {
+        this->from = 0;
+        append_entries(this->instance, part.term, part.entries, part.first, part.length, this->asked_at);
+        return;
+    }
+    // The logs part somewhere before this entry: entries before it must be compared first, further back each time.
+    this->from = std::max<std::uint64_t>(std::min(part.first, part.length) / 2, 1);
+}
+
+}  // namespace camphorstack::stand_ins
--- /dev/null
+++ b/tests/stand_ins/platform_server.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <libsoup/soup.h>
+
+#include <map>
+#include <string>
+
+#include "camphorstack/support/clock.hpp"
+#include "camphorstack/support/g_pointer.hpp"
+#include "stand_ins/platform_model.hpp"
+#include "stand_ins/platform_wire.hpp"
+#include "stand_ins/timers.hpp"
+
+namespace camphorstack::stand_ins {
+
+/// The platform's object API over HTTP, in memory, as links/platform_link.hpp describes it. Besides it:
+///   PUT /hosts   replaces the host list
+///   PUT /faults  sets the faults
+///   GET /calls   -> {"read": N, "write": N, "watch": N, "hosts": N}, the calls so far
+class platform_server {
+public:
+    /// Listens on "ip:port"; port 0 takes a free one. Throws io_error.
+    explicit platform_server(const std::string& address);
+    platform_server(const platform_server&) = delete;
+    platform_server& operator=(const platform_server&) = delete;
+    platform_server(platform_server&&) = delete;
+    platform_server& operator=(platform_server&&) = delete;
+    ~platform_server();
+
+    [[nodiscard]] std::string address() const;
+
+    platform_model model;
+    platform_faults faults;
+
+private:
+    static void on_request(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query, gpointer self);
+    static void on_gone(SoupServerMessage* message, gpointer self);
+
+    void handle(SoupServerMessage* message, const std::string& path, GHashTable* query);
+    bool handle_switches(SoupServerMessage* message, const std::string& method, const std::string& path);
+    void start_call(SoupServerMessage* message, const platform_call& call);
+    void run(std::uint64_t ticket, const platform_call& call);
+    void finish(std::uint64_t ticket, const platform_call& call, const platform_answer& answer);
+    void answer_watches();
+    void poll_watches();
+
+    monotonic_clock time;
+    std::uint64_t last_ticket = 0;
+    std::map<std::uint64_t, g_pointer<SoupServerMessage>> open;  ///< Messages without an answer yet.
+    g_pointer<SoupServer> server;
+    timers timer;
+};
+
+}  // namespace camphorstack::stand_ins
--- /dev/null
+++ b/tests/stand_ins/timers.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "camphorstack/support/clock.hpp"
+#include "camphorstack/support/g_pointer.hpp"
+
+namespace camphorstack::stand_ins {
+
+/// Runs functions once after a delay, from the main loop. Those that have not run when the object is destroyed are dropped.
+class timers {
+public:
+    timers() = default;
+    timers(const timers&) = delete;
+    timers& operator=(const timers&) = delete;
+    timers(timers&&) = delete;
+    timers& operator=(timers&&) = delete;
+    ~timers() = default;
+
+    void after(millis delay, std::function<void()> call);
+
+private:
+    struct entry {
+        timers* owner = nullptr;
+        std::uint64_t number = 0;
+        std::function<void()> call;
+        g_source_handle source;
+    };
+
+    static gboolean run(gpointer data);
+
+    std::uint64_t last = 0;
+    std::map<std::uint64_t, entry> entries;
+};
+
+}  // namespace camphorstack::stand_ins
