--- a/tests/links/peer_links.tests.cpp
+++ b/tests/links/peer_links.tests.cpp
@@ -9,6 +9,7 @@
 #include "links/main_loop.hpp"
 
 using namespace camphorstack;
+using camphorstack::tests::run_until;
 
 namespace {
 
