--- /dev/null
+++ b/src/camphorstack/cli/check.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "camphorstack/cli/command.hpp"
+
+namespace camphorstack {
+
+/// Checks a settings file or a document file and prints all errors.
+int run_check(const std::vector<std::string>& arguments);
+
+[[nodiscard]] command check_command();
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/cli/command.cpp
@@ -0,0 +1,113 @@
+#include "camphorstack/cli/command.hpp"
+
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+
+#include "camphorstack/cli/exit_codes.hpp"
+#include "camphorstack/support/errors.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+bool asks_for_help(const std::string& argument) {
+    return argument == "--help" || argument == "-help" || argument == "-h" || argument == "help";
+}
+
+/// Names of flags that were given but belong to other commands only.
+std::vector<std::string> foreign_flags(const std::vector<command>& commands, const command& chosen) {
+    std::vector<std::string> found;
+    for (const auto& other : commands) {
+        for (const auto& name : other.flags) {
+            const auto* flag = absl::FindCommandLineFlag(name);
+            const bool is_own = std::ranges::find(chosen.flags, name) != chosen.flags.end();
+            if (!is_own && flag != nullptr && flag->CurrentValue() != flag->DefaultValue()) {
+                found.push_back(name);
+            }
+        }
+    }
+    return found;
+}
+
+/// Gives flags without a value the value that they then have; Abseil would take the next argument instead.
+std::vector<std::string> complete_bare_flags(const command& chosen, std::vector<std::string> arguments) {
+    for (auto& argument : arguments) {
+        for (const auto& [name, value] : chosen.bare_flags) {
+            if (argument == "--" + name) {
+                argument += "=" + value;
+            }
+        }
+    }
+    return arguments;
+}
+
+std::vector<std::string> parse_flags(std::vector<std::string> arguments) {
+    std::vector<char*> pointers;
+    std::ranges::transform(arguments, std::back_inserter(pointers), [](std::string& text) { return text.data(); });
+    const auto rest = absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
+    return {rest.begin() + 1, rest.end()};
+}
+
+int run_chosen(const command& chosen, const std::vector<std::string>& arguments) {
+    try {
+        return chosen.run(arguments);
+    } catch (const format_error& failure) {
+        std::cerr << failure.what() << '\n';
+        return exit_invalid;
+    } catch (const error& failure) {
+        std::cerr << "camphorstack " << chosen.name << ": " << failure.what() << '\n';
+        return exit_usage;
+    }
+}
+
+}  // namespace
+
+std::string list_commands(const std::vector<command>& commands) {
+    std::string text = "usage: camphorstack COMMAND [ARGUMENTS] [FLAGS]\n\ncommands:\n";
+    constexpr std::size_t column = 10;
+    for (const auto& entry : commands) {
+        text += "  " + entry.name + std::string(column - std::min(column - 1, entry.name.size()), ' ') + entry.summary + "\n";
+    }
+    return text + "\n'camphorstack COMMAND --help' describes a command, its flags, examples and exit codes.\n";
+}
+
+std::string describe_command(const command& chosen) {
+    std::string text = "camphorstack " + chosen.name + ": " + chosen.summary + "\n\n" + chosen.usage;
+    text += chosen.flags.empty() ? "" : "\nflags:\n";
+    for (const auto& name : chosen.flags) {
+        if (const auto* flag = absl::FindCommandLineFlag(name); flag != nullptr) {
+            text += "  --" + name + "  " + flag->Help() + " (default: \"" + flag->DefaultValue() + "\")\n";
+        }
+    }
+    return text;
+}
+
+int run_command_line(const std::vector<command>& commands, const std::vector<std::string>& arguments) {
+    if (arguments.size() < 2 || asks_for_help(arguments[1])) {
+        (arguments.size() < 2 ? std::cerr : std::cout) << list_commands(commands);
+        return arguments.size() < 2 ? exit_usage : exit_ok;
+    }
+    const auto chosen = std::ranges::find(commands, arguments[1], &command::name);
+    if (chosen == commands.end()) {
+        std::cerr << "unknown command \"" << arguments[1] << "\"\n" << list_commands(commands);
+        return exit_usage;
+    }
+    if (std::any_of(arguments.begin() + 2, arguments.end(), asks_for_help)) {
+        std::cout << describe_command(*chosen);
+        return exit_ok;
+    }
+    auto rest = complete_bare_flags(*chosen, arguments);
+    rest.erase(rest.begin() + 1);
+    const auto positional = parse_flags(rest);
+    if (const auto foreign = foreign_flags(commands, *chosen); !foreign.empty()) {
+        std::cerr << "--" << foreign.front() << " is not a flag of \"" << chosen->name << "\"\n";
+        return exit_usage;
+    }
+    return run_chosen(*chosen, positional);
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/cli/fleet_status.cpp
@@ -0,0 +1,130 @@
+#include "camphorstack/cli/fleet_status.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace camphorstack {
+
+namespace {
+
+const host_status* newest_status(const std::vector<fleet_host>& hosts) {
+    const host_status* newest = nullptr;
+    for (const auto& host : hosts) {
+        if (host.status && (newest == nullptr || host.status->version > newest->version)) {
+            newest = &*host.status;
+        }
+    }
+    return newest;
+}
+
+/// The entries of a database that come from hosts which believe to own it; without such a host, the one with most endpoints.
+std::vector<fleet_database> entries_of(const std::vector<fleet_host>& hosts, const database_id& id) {
+    std::vector<fleet_database> owners;
+    std::optional<fleet_database> best;
+    for (const auto& host : hosts) {
+        if (!host.status) {
+            continue;
+        }
+        for (const auto& entry : host.status->databases) {
+            if (entry.id != id) {
+                continue;
+            }
+            if (entry.duty == "owner") {
+                owners.push_back({host.status->id, entry});
+            }
+            if (!best || entry.endpoints.size() > best->status.endpoints.size()) {
+                best = fleet_database{host.status->id, entry};
+            }
+        }
+    }
+    if (owners.empty() && best) {
+        owners.push_back(*best);
+    }
+    return owners;
+}
+
+std::vector<fleet_database> merge_databases(const std::vector<fleet_host>& hosts) {
+    std::set<database_id> ids;
+    for (const auto& host : hosts) {
+        if (host.status) {
+            std::ranges::transform(host.status->databases, std::inserter(ids, ids.end()), &database_status::id);
+        }
+    }
+    std::vector<fleet_database> merged;
+    for (const auto& id : ids) {
+        std::ranges::copy(entries_of(hosts, id), std::back_inserter(merged));
+    }
+    return merged;
+}
+
+std::vector<workspace_status> merge_workspaces(const std::vector<fleet_host>& hosts, const host_status& newest) {
+    std::map<workspace_id, workspace_status> merged;
+    for (const auto& entry : newest.workspaces) {
+        merged[entry.id] = {entry.id, entry.rate_per_s, entry.burst, 0, {}};
+    }
+    for (const auto& host : hosts) {
+        if (!host.status) {
+            continue;
+        }
+        for (const auto& entry : host.status->workspaces) {
+            auto& sum = merged[entry.id];
+            sum.id = entry.id;
+            sum.admitted += entry.admitted;
+            for (const auto& [reason, count] : entry.refused) {
+                sum.refused[reason] += count;
+            }
+        }
+    }
+    std::vector<workspace_status> list;
+    std::ranges::transform(merged, std::back_inserter(list), [](auto& entry) { return std::move(entry.second); });
+    return list;
+}
+
+}  // namespace
+
+std::vector<listed_member> hosts_to_ask(const host_status& first, const std::string& first_address) {
+    std::map<host_id, listed_member> hosts;
+    hosts[first.id] = {{first.id, "", first_address, first.location}, first.leaving ? "leaving" : "alive"};
+    for (const auto& entry : first.hosts) {
+        // The list's entry of the first host itself has its state, but may hold an address that only its peers reach.
+        auto& target = hosts[entry.subject.id];
+        target = entry;
+        if (entry.subject.id == first.id) {
+            target.subject.http_address = first_address;
+        }
+    }
+    std::vector<listed_member> list;
+    std::ranges::transform(hosts, std::back_inserter(list), [](const auto& entry) { return entry.second; });
+    return list;
+}
+
+fleet_status merge_status(std::vector<fleet_host> hosts) {
+    fleet_status merged;
+    std::ranges::sort(hosts, {}, [](const fleet_host& host) { return host.listed.subject.id; });
+    if (const auto* newest = newest_status(hosts); newest != nullptr) {
+        merged.data_centres = newest->data_centres;
+        merged.workspaces = merge_workspaces(hosts, *newest);
+    }
+    merged.databases = merge_databases(hosts);
+    merged.hosts = std::move(hosts);
+    return merged;
+}
+
+std::vector<std::string> lagging_hosts(const std::vector<fleet_host>& hosts, document_version version) {
+    std::vector<std::string> lagging;
+    for (const auto& host : hosts) {
+        const auto& id = host.listed.subject.id;
+        if (host.status && host.status->version >= version) {
+            continue;
+        }
+        if (host.status) {
+            lagging.push_back(id + " (version " + std::to_string(host.status->version) + ")");
+        } else if (host.listed.state != "dead") {
+            lagging.push_back(id + " (" + host.fault + ")");
+        }
+    }
+    return lagging;
+}
+
+}  // namespace camphorstack
--- a/src/camphorstack/document/json_tree.cpp
+++ b/src/camphorstack/document/json_tree.cpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "camphorstack/support/g_pointer.hpp"
+
 namespace camphorstack {
 
 namespace {
@@ -13,11 +15,6 @@
 /// json-glib parses nested values by recursion, so the depth is bounded before the text reaches it.
 constexpr int max_depth = 64;
 
-struct g_object_deleter {
-    void operator()(gpointer object) const { g_object_unref(object); }
-};
-using parser_handle = std::unique_ptr<JsonParser, g_object_deleter>;
-
 bool may_stand_outside_strings(char c) {
     return g_ascii_isspace(c) != FALSE || g_ascii_isalnum(c) != FALSE ||
            std::string_view{"+-.,:{}[]"}.find(c) != std::string_view::npos;
@@ -48,12 +45,12 @@
 }
 
 std::string generate(JsonNode* node, bool pretty) {
-    const std::unique_ptr<JsonGenerator, g_object_deleter> generator{json_generator_new()};
+    const auto generator = g_adopt(json_generator_new());
     json_generator_set_root(generator.get(), node);
     json_generator_set_pretty(generator.get(), pretty ? TRUE : FALSE);
     json_generator_set_indent(generator.get(), 2);
     gsize length = 0;
-    const std::unique_ptr<char, decltype(&g_free)> text{json_generator_to_data(generator.get(), &length), &g_free};
+    const g_text text{json_generator_to_data(generator.get(), &length)};
     return {text.get(), length};
 }
 
@@ -107,7 +104,7 @@
         this->found_faults.push_back({0, unsafe});
         return;
     }
-    const parser_handle parser{json_parser_new()};
+    const auto parser = g_adopt(json_parser_new());
     scan observed{this, {}, {}};
     g_signal_connect(parser.get(), "object-start", G_CALLBACK(&scan::on_object_start), &observed);
     g_signal_connect(parser.get(), "object-member", G_CALLBACK(&scan::on_object_member), &observed);
--- a/src/camphorstack/document/object_reader.cpp
+++ b/src/camphorstack/document/object_reader.cpp
@@ -51,7 +51,7 @@
 }
 
 std::string object_reader::required_id(const char* name) {
-    const auto text = this->required_string(name);
+    auto text = this->required_string(name);
     if (!text.empty() && !is_id(text)) {
         this->fail(name, id_rule);
     }
--- a/src/camphorstack/document/parse.cpp
+++ b/src/camphorstack/document/parse.cpp
@@ -1,4 +1,5 @@
 #include "camphorstack/document/checks.hpp"
+#include "camphorstack/document/document_file.hpp"
 #include "camphorstack/document/section_readers.hpp"
 #include "camphorstack/document/stored_document.hpp"
 
@@ -76,6 +77,35 @@
     return result;
 }
 
+stored_sections find_section_contents(const json_tree& tree, error_list& errors) {
+    stored_sections found;
+    object_reader reader{errors, tree, "document", "", tree.root()};
+    for (const auto& name : section_names()) {
+        if (json_object_has_member(tree.root(), name.c_str()) == FALSE) {
+            continue;
+        }
+        if (JsonObject* content = reader.required_object(name.c_str()); content != nullptr) {
+            found.emplace(name, stored_section{0, "", content, &tree});
+        }
+    }
+    reader.reject_unknown_fields();
+    return found;
+}
+
+void check_document_file(const std::string& text) {
+    error_list errors;
+    if (!check_size(text, errors)) {
+        errors.throw_if_any();
+    }
+    const json_tree tree{text};
+    if (check_syntax(tree, "document", errors)) {
+        const bool is_platform_value = json_object_has_member(tree.root(), "sections") != FALSE;
+        const auto sections = is_platform_value ? find_sections(tree, errors) : find_section_contents(tree, errors);
+        static_cast<void>(read_document(sections, 0, errors));
+    }
+    errors.throw_if_any();
+}
+
 document parse_document(const std::string& text, document_version version) {
     error_list errors;
     if (!check_size(text, errors)) {
--- a/src/camphorstack/document/stored_document.hpp
+++ b/src/camphorstack/document/stored_document.hpp
@@ -24,6 +24,9 @@
 /// Finds the sections in the platform object's value. The result refers to `tree`.
 [[nodiscard]] stored_sections find_sections(const json_tree& tree, error_list& errors);
 
+/// Finds the sections in an object as operators write it: {"tenancy": {...}, ...}, without versions.
+[[nodiscard]] stored_sections find_section_contents(const json_tree& tree, error_list& errors);
+
 /// Reads all sections and checks them against each other.
 [[nodiscard]] document read_document(const stored_sections& sections, document_version version, error_list& errors);
 
--- a/src/camphorstack/settings/parse_settings.cpp
+++ b/src/camphorstack/settings/parse_settings.cpp
@@ -106,9 +106,9 @@
     }
     std::set<std::string> ids;
     std::set<std::string> addresses;
-    int index = 0;
-    for (const auto& node : list) {
-        const std::string place = "seeds[" + std::to_string(index++) + "]";
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        const YAML::Node node = list[i];
+        const std::string place = "seeds[" + std::to_string(i) + "]";
         if (!node.IsMap()) {
             errors.add(node.Mark().line + 1, place + ": must be a mapping");
             continue;
--- a/src/camphorstack/settings/settings_reader.cpp
+++ b/src/camphorstack/settings/settings_reader.cpp
@@ -65,8 +65,8 @@
     throw settings_error(all);
 }
 
-settings_reader::settings_reader(settings_errors& sink, YAML::Node mapping, std::string name)
-    : errors(sink), node(std::move(mapping)), place(std::move(name)) {}
+settings_reader::settings_reader(settings_errors& sink, const YAML::Node& mapping, std::string name)
+    : errors(sink), node(mapping), place(std::move(name)) {}
 
 YAML::Node settings_reader::child(const std::string& key) {
     this->asked.insert(key);
@@ -94,7 +94,7 @@
 }
 
 std::string settings_reader::required_address(const std::string& key) {
-    const auto text = this->required_text(key);
+    auto text = this->required_text(key);
     if (!text.empty() && !is_ip_and_port(text)) {
         this->fail(key, "must be an IP number and a port, such as 127.0.0.1:7001");
     }
@@ -102,7 +102,7 @@
 }
 
 std::string settings_reader::required_id(const std::string& key) {
-    const auto text = this->required_text(key);
+    auto text = this->required_text(key);
     if (!text.empty() && !is_id(text)) {
         this->fail(key, id_rule);
     }
@@ -110,7 +110,7 @@
 }
 
 std::string settings_reader::required_secret(const std::string& key, std::size_t shortest) {
-    const auto text = this->required_text(key);
+    auto text = this->required_text(key);
     if (!text.empty() && text.size() < shortest) {
         this->fail(key, "must have at least " + std::to_string(shortest) + " characters");
     }
--- a/src/camphorstack/settings/settings_reader.hpp
+++ b/src/camphorstack/settings/settings_reader.hpp
@@ -26,8 +26,8 @@
 /// Reads the keys of one YAML mapping, adds an error for each wrong value, and knows which keys were asked for.
 class settings_reader {
 public:
-    /// `place` names the mapping in errors, such as "seeds[0]"; empty for the file itself.
-    settings_reader(settings_errors& sink, YAML::Node mapping, std::string place);
+    /// `name` names the mapping in errors, such as "seeds[0]"; empty for the file itself.
+    settings_reader(settings_errors& sink, const YAML::Node& mapping, std::string name);
 
     /// Text that must be there and not be empty.
     std::string required_text(const std::string& key);
