--- a/tests/links/endpoint_links.tests.cpp
+++ b/tests/links/endpoint_links.tests.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
-#include "links/main_loop.hpp"
+#include "links/run_main_loop.hpp"
 #include "stand_ins/instance_server.hpp"
 #include "stand_ins/pg_server.hpp"
 
--- a/tests/links/platform_link.tests.cpp
+++ b/tests/links/platform_link.tests.cpp
@@ -4,7 +4,7 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
-#include "links/main_loop.hpp"
+#include "links/run_main_loop.hpp"
 #include "stand_ins/platform_server.hpp"
 
 using namespace camphorstack;
