Test promises under any sequence of faults with two hosts

Change: a seeded sequence of faults, pauses, leaving endpoints, changes of duty and platform outages, which overlap.

--- a/tests/endpoints/group_faults.tests.cpp
+++ b/tests/endpoints/group_faults.tests.cpp
@@ -70,6 +70,38 @@
     bench.heal(next);
 }
 
+/// Faults, pauses, leaving endpoints and changes of owner in any order and overlap.
+void fault_in_sequence(group_bench& bench) {
+    for (int step = 0; step < 10; ++step) {
+        const auto index = static_cast<std::size_t>(bench.pick(0, 2));
+        const auto host = static_cast<std::size_t>(bench.pick(0, static_cast<std::int64_t>(bench.hosts.size()) - 1));
+        switch (bench.pick(0, 5)) {
+            case 0:
+                apply(bench, any_fault(bench), bench.primary());
+                break;
+            case 1:
+                apply(bench, any_fault(bench), index);
+                break;
+            case 2:
+                bench.hosts[host].paused_until = bench.now + millis{bench.pick(100, 2000)};
+                break;
+            case 3:
+                bench.set_usable({"i0", "i" + std::to_string(index)});
+                break;
+            case 4:
+                bench.set_duty(host, bench.chance(0.5) ? group_duty::standby : group_duty::owner);
+                break;
+            default:
+                bench.platform_up = !bench.platform_up;
+                break;
+        }
+        bench.run(millis{bench.pick(0, 600)});
+        bench.heal(static_cast<std::size_t>(bench.pick(0, 2)));
+    }
+    bench.platform_up = true;
+    bench.set_duty(0, group_duty::owner);
+}
+
 template <typename Fault>
 void check_seeds(const bench_options& base, std::uint64_t seeds, Fault cause) {
     std::size_t done = 0;
@@ -138,6 +170,16 @@
     }
 }
 
+TEST_CASE("promises hold under any sequence of faults with two hosts",
+          "[group][acknowledged-writes-survive][no-former-primary][not-run-is-true][at-most-once]") {
+    bench_options options;
+    options.hosts = 2;
+    options.crossed = 0.002;
+    options.silent = 0.001;
+    options.replication_lag = 20;
+    check_seeds(options, 30, fault_in_sequence);
+}
+
 TEST_CASE("sessions read their writes across replication lag and promotion", "[group][read-your-writes]") {
     bench_options options;
     options.hosts = 2;
