--- a/tests/endpoints/group_gap.tests.cpp
+++ b/tests/endpoints/group_gap.tests.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 /// Time from the loss of the primary to the first acknowledged write that was submitted after it.
-millis failover_gap(std::uint64_t seed, int kind, bool platform_up) {
+millis failover_gap(std::uint64_t seed, int kind, bool platform_up, std::size_t hosts) {
     bench_options options;
+    options.hosts = hosts;
     options.seed = seed;
     options.latency = 10;
     group_bench bench(options);
@@ -40,14 +41,14 @@
     return 10_s;
 }
 
-void check_gaps(bool platform_up, const std::string& what) {
+void check_gaps(bool platform_up, std::size_t hosts, const std::string& what) {
     constexpr std::uint64_t runs_each = 100;
     std::vector<millis> gaps;
     std::string medians;
     for (int kind = 0; kind < 3; ++kind) {
         std::vector<millis> of_kind;
         for (std::uint64_t seed = 1; seed <= runs_each; ++seed) {
-            of_kind.push_back(failover_gap(seed, kind, platform_up));
+            of_kind.push_back(failover_gap(seed, kind, platform_up, hosts));
         }
         std::sort(of_kind.begin(), of_kind.end());
         medians += " " + std::to_string(of_kind[runs_each / 2].count);
@@ -64,7 +65,7 @@
 }  // namespace
 
 TEST_CASE("writes resume within a second after the primary is lost", "[group][failover-gap]") {
-    check_gaps(true, "platform up");
+    check_gaps(true, 1, "platform up");
 }
 
 TEST_CASE("two changes of primary in a row work while the platform does not answer", "[group][failover-gap]") {
@@ -83,5 +84,9 @@
 }
 
 TEST_CASE("a reserved term keeps the failover gap short while the platform does not answer", "[group][failover-gap]") {
-    check_gaps(false, "platform down");
+    check_gaps(false, 1, "platform down");
+}
+
+TEST_CASE("two hosts that promote at the same time do not delay each other", "[group][failover-gap]") {
+    check_gaps(true, 2, "two owners");
 }
