Test owners, membership, evidence and the rate bound

Cause: the modules had no tests; the tests found two faults in membership and one in the shares.

Loans are of whole requests, and no more than is needed.

--- a/src/camphorstack/contracts/borrowing.cpp
+++ b/src/camphorstack/contracts/borrowing.cpp
@@ -20,6 +20,8 @@
 constexpr millis low_mark{40};
 /// Tokens for this much demand are asked for.
 constexpr millis wanted_demand{100};
+/// Requests that wait raise the estimated demand by this many per second each.
+constexpr std::int64_t waiting_weight = 10;
 /// Lenders asked at a time in a fleet where not all hosts are holders.
 constexpr std::size_t lenders_at_a_time = 3;
 
@@ -33,25 +35,34 @@
 };
 
 bool has_shortage(const contract_share& share, instant now) {
-    return share.unserved > 0 && now - share.last_shortage <= shortage_memory;
+    return share.waiting > 0 && now - share.last_shortage <= shortage_memory;
 }
 
+/// Tokens asked for whose grants may still be on the way.
+millitokens expected_tokens(const contract_share& share, instant now) {
+    millitokens sum = 0;
+    for (const auto& [sequence, opened] : share.open_loans) {
+        sum += now - opened.sent < grant_wait ? opened.tokens : 0;
+    }
+    return sum;
+}
+
+/// What to borrow. Little more than is needed: tokens that are not spent when a loan ends are lost to the fleet.
 wants wanted(const contract_share& share, instant now) {
     const auto demand = expected_demand(share, now);
-    const auto rate = accrual_rate(share, now);
-    const auto needed_rate = std::max<millitokens>(0, demand + demand / 4 - rate);
-    if (has_shortage(share, now)) {
-        // Without tokens the demand estimate is too low, so a part of the contract is the least to ask for.
-        const auto least = share.parts == 0 ? 0 : share.burst / static_cast<millitokens>(share.parts);
-        const auto tokens = std::max(2 * share.unserved * request_cost + tokens_for(demand, wanted_demand), least);
-        return {std::min(tokens, share.burst), std::max(needed_rate, share.parts == 0 ? 0 : share.rate_per_s / 4)};
-    }
-    const auto low = std::max(tokens_for(demand, low_mark), request_cost);
     const bool active = share.demand_per_s > 0 && now - share.last_attempt <= millis{milliseconds_per_second};
-    if (!active || share.tokens >= low || needed_rate == 0) {
+    const bool shortage = has_shortage(share, now);
+    const auto low = std::max(tokens_for(demand, low_mark), request_cost);
+    if (!shortage && (!active || share.tokens >= low)) {
+        return {};
+    }
+    const auto waiting = shortage ? share.waiting * request_cost : 0;
+    const auto tokens = waiting + tokens_for(demand, wanted_demand) - share.tokens - expected_tokens(share, now);
+    const auto needed = demand + demand / 4 + waiting * waiting_weight - share.accrual_rate;
+    if (tokens <= 0 || (!shortage && needed <= 0)) {
         return {};
     }
-    return {std::min(std::max(tokens_for(demand, wanted_demand), 2 * request_cost), share.burst), needed_rate};
+    return {std::min(tokens, share.burst), std::clamp<millitokens>(needed, 0, share.rate_per_s)};
 }
 
 /// Lenders that may be asked now: those that gave most last come first.
@@ -90,12 +101,20 @@
         if (wish.tokens == 0 && wish.rate_per_s == 0) {
             continue;
         }
-        for (const auto& lender : choose_lenders(state, share, now, random)) {
+        auto lenders = choose_lenders(state, share, now, random);
+        // Not all have something to spare, so twice the need is asked for, in whole requests' worth.
+        const auto whole = 2 * (wish.tokens + request_cost - 1) / request_cost;
+        lenders.resize(std::min(lenders.size(), static_cast<std::size_t>(whole) + 1));
+        for (const auto& lender : lenders) {
+            const auto count = static_cast<millitokens>(lenders.size());
+            const bool gave = share.lenders[lender].last_grant > 0;
+            const auto tokens = std::min(share.burst, (gave ? whole : (whole + count - 1) / count) * request_cost);
+            const auto rate = gave ? wish.rate_per_s : 2 * wish.rate_per_s / count;
             const auto sequence = state.next_sequence++;
             const auto duration = state.settings.loan_duration;
-            share.open_loans.emplace(sequence, open_loan{lender, now, duration});
+            share.open_loans.emplace(sequence, open_loan{lender, now, duration, tokens});
             share.lenders[lender].not_before = now + grant_wait;
-            requests.push_back({lender, {sequence, id, state.members.epoch, wish.tokens, wish.rate_per_s, duration}});
+            requests.push_back({lender, {sequence, id, state.members.epoch, tokens, rate, duration}});
         }
     }
     return requests;
@@ -125,8 +144,8 @@
         return;
     }
     share.borrowed.push_back({grant.sequence, grant.tokens, grant.rate_per_s, until});
-    share.tokens += grant.tokens;
-    share.unserved = share.tokens >= request_cost ? 0 : share.unserved;
+    renew_bounds(share);
+    share.tokens = std::min(share.tokens + grant.tokens, share.room);
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/contracts/contract_share.cpp
+++ b/src/camphorstack/contracts/contract_share.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace camphorstack {
 
@@ -20,32 +21,28 @@
 }
 
 /// Sum of one amount over the own part and the borrowed parts, each without what was lent from it.
-millitokens available(const contract_share& share, instant at, millitokens own, millitokens borrowed_part::*borrowed_amount,
+millitokens available(const contract_share& share, millitokens own, millitokens borrowed_part::*borrowed_amount,
                       millitokens lent_part::*lent_amount) {
     const auto lent_from = [&](std::uint64_t source) {
         millitokens sum = 0;
         for (const auto& part : share.lent) {
-            sum += part.source == source && at < part.until ? part.*lent_amount : 0;
+            sum += part.source == source ? part.*lent_amount : 0;
         }
         return sum;
     };
     millitokens sum = std::max<millitokens>(0, own - lent_from(0));
     for (const auto& part : share.borrowed) {
-        if (at < part.until) {
-            sum += std::max<millitokens>(0, part.*borrowed_amount - lent_from(part.sequence));
-        }
+        sum += std::max<millitokens>(0, part.*borrowed_amount - lent_from(part.sequence));
     }
     return sum;
 }
 
-/// The earliest end of a loan or a changeover after `from`, at most `limit`.
-instant next_change(const contract_share& share, instant from, instant limit) {
-    instant next = limit;
-    const auto consider = [&next, from](const auto& items) {
+/// The earliest end of a loan or a changeover.
+instant next_change(const contract_share& share) {
+    instant next{std::numeric_limits<std::int64_t>::max()};
+    const auto consider = [&next](const auto& items) {
         for (const auto& item : items) {
-            if (item.until > from) {
-                next = std::min(next, item.until);
-            }
+            next = std::min(next, item.until);
         }
     };
     consider(share.borrowed);
@@ -68,31 +65,33 @@
     return own_part(share, share.rate_per_s, at);
 }
 
-millitokens burst_room(const contract_share& share, instant at) {
-    return available(share, at, own_burst(share, at), &borrowed_part::burst, &lent_part::burst);
-}
-
-millitokens accrual_rate(const contract_share& share, instant at) {
-    return available(share, at, own_rate(share, at), &borrowed_part::rate_per_s, &lent_part::rate_per_s);
+void renew_bounds(contract_share& share) {
+    const auto at = share.updated;
+    const auto ended = [at](const auto& item) { return item.until <= at; };
+    std::erase_if(share.borrowed, ended);
+    std::erase_if(share.lent, ended);
+    std::erase_if(share.former, ended);
+    share.room = available(share, own_burst(share, at), &borrowed_part::burst, &lent_part::burst);
+    share.accrual_rate = available(share, own_rate(share, at), &borrowed_part::rate_per_s, &lent_part::rate_per_s);
+    share.bounds_until = next_change(share);
+    share.tokens = std::min(share.tokens, share.room);
 }
 
 void accrue(contract_share& share, instant now) {
     while (share.updated < now) {
-        const auto next = next_change(share, share.updated, now);
-        const auto gained = accrual_rate(share, share.updated) * (next - share.updated).count + share.remainder;
-        share.tokens = std::min(share.tokens + gained / milliseconds_per_second, burst_room(share, share.updated));
+        const auto next = std::min(now, share.bounds_until);
+        const auto gained = share.accrual_rate * (next - share.updated).count + share.remainder;
+        share.tokens = std::min(share.tokens + gained / milliseconds_per_second, share.room);
         share.remainder = gained % milliseconds_per_second;
         share.updated = next;
-        const auto ended = [next](const auto& item) { return item.until <= next; };
-        std::erase_if(share.borrowed, ended);
-        std::erase_if(share.lent, ended);
-        std::erase_if(share.former, ended);
+        if (next == share.bounds_until) {
+            renew_bounds(share);
+        }
     }
-    share.tokens = std::min(share.tokens, burst_room(share, share.updated));
 }
 
 void note_demand(contract_share& share, instant now) {
-    constexpr double memory_ms = 100;
+    constexpr double memory_ms = 300;
     const auto gap = static_cast<double>((now - share.last_attempt).count);
     const auto one_request = static_cast<double>(request_cost * milliseconds_per_second) / memory_ms;
     share.demand_per_s = share.demand_per_s * std::exp(-gap / memory_ms) + one_request;
--- a/src/camphorstack/contracts/contract_share.hpp
+++ b/src/camphorstack/contracts/contract_share.hpp
@@ -47,6 +47,7 @@
     host_id lender;
     instant sent;
     millis duration;
+    millitokens tokens = 0;  ///< Asked for.
 
     friend bool operator==(const open_loan&, const open_loan&) = default;
 };
@@ -76,11 +77,14 @@
     instant updated;             ///< Tokens are accrued up to here.
     std::vector<borrowed_part> borrowed;
     std::vector<lent_part> lent;
+    millitokens room = 0;          ///< Upper bound of `tokens`; set by `renew_bounds`.
+    millitokens accrual_rate = 0;  ///< Rate at which tokens accrue, per second; set by `renew_bounds`.
+    instant bounds_until;          ///< The next loan or changeover ends here and changes both.
 
     double demand_per_s = 0;  ///< Estimated spending in millitokens per second, at `last_attempt`.
     instant last_attempt;
-    instant last_shortage;      ///< When a request last found too few tokens.
-    std::int64_t unserved = 0;  ///< Requests that found too few tokens since tokens last sufficed.
+    instant last_shortage;     ///< When a request last found too few tokens.
+    std::int64_t waiting = 0;  ///< Requests that wait for tokens.
     std::map<host_id, lender_memory> lenders;
     std::map<std::uint64_t, open_loan> open_loans;  ///< By sequence number.
 };
@@ -91,11 +95,8 @@
 /// Own rate at `at`, without what is lent.
 [[nodiscard]] millitokens own_rate(const contract_share& share, instant at);
 
-/// Upper bound of the tokens that this host may hold at `at`.
-[[nodiscard]] millitokens burst_room(const contract_share& share, instant at);
-
-/// Rate at which tokens accrue at `at`, per second.
-[[nodiscard]] millitokens accrual_rate(const contract_share& share, instant at);
+/// Ends what has ended at `updated` and sets the bounds. To be called after each change of the parts.
+void renew_bounds(contract_share& share);
 
 /// Accrues tokens up to `now`, ending loans and changeovers at their own instants on the way.
 void accrue(contract_share& share, instant now);
--- a/src/camphorstack/contracts/lending.cpp
+++ b/src/camphorstack/contracts/lending.cpp
@@ -61,14 +61,14 @@
 
 /// Tokens and rate that the lender does not need itself.
 offer spare_of(const contract_share& share, instant now) {
-    if (share.unserved > 0 && now - share.last_shortage <= shortage_memory) {
+    if (share.waiting > 0 && now - share.last_shortage <= shortage_memory) {
         return {};
     }
     const auto demand = expected_demand(share, now);
     const bool active = share.demand_per_s > 0 && now - share.last_attempt <= active_time;
     const auto kept = std::max<millitokens>(demand * kept_demand.count / milliseconds_per_second, active ? request_cost : 0);
     const auto kept_rate = demand + demand / 4;
-    return {{}, std::max<millitokens>(0, share.tokens - kept), std::max<millitokens>(0, accrual_rate(share, now) - kept_rate)};
+    return {{}, std::max<millitokens>(0, share.tokens - kept), std::max<millitokens>(0, share.accrual_rate - kept_rate)};
 }
 
 /// The duration at which the parts that last long enough give the most. Ties go to the longest.
@@ -110,6 +110,7 @@
             share.lent.push_back(taken);
         }
     }
+    renew_bounds(share);
 }
 
 }  // namespace
@@ -127,7 +128,9 @@
     limit.tokens = std::clamp<millitokens>(request.tokens, 0, limit.tokens);
     limit.rate_per_s = std::clamp<millitokens>(request.rate_per_s, 0, limit.rate_per_s);
     const auto parts = lendable_parts(share, now, longest);
-    const auto made = best_offer(parts, limit);
+    auto made = best_offer(parts, limit);
+    // Only whole requests' worth: fractions spread over many hosts admit nobody.
+    made.tokens -= made.tokens % request_cost;
     if (made.tokens == 0 && made.rate_per_s == 0) {
         return grant;
     }
--- a/src/camphorstack/contracts/shares.cpp
+++ b/src/camphorstack/contracts/shares.cpp
@@ -30,11 +30,12 @@
             share.updated = now;
             share.former.push_back({0, now + state.settings.changeover});
             choose_holders(state, item.id, share);
+            renew_bounds(share);
         }
         accrue(share, now);
         share.rate_per_s = item.rate_per_s * request_cost;
         share.burst = item.burst * request_cost;
-        share.tokens = std::min(share.tokens, burst_room(share, now));
+        renew_bounds(share);
     }
 }
 
@@ -48,7 +49,7 @@
         accrue(share, now);
         share.former.push_back({successive ? share.parts : 0, now + state.settings.changeover});
         choose_holders(state, id, share);
-        share.tokens = std::min(share.tokens, burst_room(share, now));
+        renew_bounds(share);
     }
 }
 
@@ -62,12 +63,20 @@
     if (share.tokens < request_cost) {
         share.last_attempt = std::max(share.last_attempt, now);
         share.last_shortage = now;
-        ++share.unserved;
+        share.waiting = std::max<std::int64_t>(share.waiting, 1);
         return false;
     }
     share.tokens -= request_cost;
+    share.waiting = std::max<std::int64_t>(0, share.waiting - 1);
     note_demand(share, now);
     return true;
 }
 
+void note_waiting(share_state& state, const workspace_id& id, std::size_t count) {
+    const auto found = state.contracts.find(id);
+    if (found != state.contracts.end()) {
+        found->second.waiting = static_cast<std::int64_t>(count);
+    }
+}
+
 }  // namespace camphorstack
--- a/src/camphorstack/contracts/shares.hpp
+++ b/src/camphorstack/contracts/shares.hpp
@@ -54,6 +54,10 @@
 /// Spends one request's tokens. False if this host's tokens do not suffice; the caller may wait for a loan.
 bool try_spend(share_state& state, const workspace_id& id, instant now);
 
+/// Tells how many requests of a workspace wait for tokens after `try_spend` failed, so that enough is borrowed for all of them.
+/// Without this call one is assumed.
+void note_waiting(share_state& state, const workspace_id& id, std::size_t count);
+
 /// Loan requests that are due, for workspaces that run low.
 std::vector<addressed_loan_request> due_loan_requests(share_state& state, instant now, random_source& random);
 
--- a/src/camphorstack/hosts/membership.cpp
+++ b/src/camphorstack/hosts/membership.cpp
@@ -83,12 +83,11 @@
 void check_suspects(membership_state& state, known_versions versions, instant now, addressed_messages& messages) {
     const auto limit = suspicion_time(state.settings, state.others.size());
     std::vector<host_id> to_confirm;
-    for (auto& [id, view] : state.others) {
-        if (view.newest.state != member_state::suspect) {
-            continue;
-        }
+    const auto suspects = state.suspects;  // A copy: set_state changes the set.
+    for (const auto& id : suspects) {
+        auto& view = state.others.at(id);
         const auto suspected_for = now - view.changed;
-        if (suspected_for >= limit) {
+        if (suspected_for >= limit + view.round_trip * 2) {
             set_state(state, id, member_state::dead, "suspected_ms=" + std::to_string(suspected_for.count), now);
         } else if (view.confirmations < max_confirmations && suspected_for >= limit * view.confirmations / max_confirmations) {
             ++view.confirmations;
@@ -159,11 +158,8 @@
     for (auto& [sequence, opened] : state.open_probes) {
         opened.expired = true;
     }
-    for (auto& [id, view] : state.others) {
-        if (view.newest.state == member_state::suspect) {
-            view.changed = now;
-            view.confirmations = 0;
-        }
+    for (const auto& id : state.suspects) {
+        note_sign_of_life(state, id, now);
     }
 }
 
@@ -189,6 +185,7 @@
 
 std::optional<instant> receive_probe_answer(membership_state& state, const host_id& from, const probe_answer& answer,
                                             instant now) {
+    note_sign_of_life(state, from, now);
     const auto relayed = state.relayed_probes.find(answer.sequence);
     if (relayed != state.relayed_probes.end() && relayed->second.target == from) {
         state.outbox.push_back({relayed->second.origin, relay_answer{from, relayed->second.origin_sequence}});
@@ -206,6 +203,7 @@
     const auto known = state.others.find(from);
     if (known != state.others.end()) {
         known->second.seen = true;
+        known->second.round_trip = std::max(now - probed.sent, known->second.round_trip / 2);
         if (probed.of_dead_host && known->second.newest.state != member_state::dead) {
             state.next_dead_probe = now;  // A partition has probably healed: probe the next dead host at once.
         }
@@ -231,10 +229,7 @@
     if (opened != state.open_probes.end() && opened->second.target == answer.target && !opened->second.expired) {
         state.open_probes.erase(opened);
     }
-    const auto known = state.others.find(answer.target);
-    if (known != state.others.end() && known->second.newest.state == member_state::suspect) {
-        known->second.changed = now;  // It lives; its refutation is on the way.
-    }
+    note_sign_of_life(state, answer.target, now);
 }
 
 addressed_messages on_link_lost(membership_state& state, const host_id& peer, known_versions versions, instant now) {
--- a/src/camphorstack/hosts/membership.hpp
+++ b/src/camphorstack/hosts/membership.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -35,6 +36,7 @@
     bool seen = false;      ///< It was heard of from the fleet, not only from settings or the platform's list.
     bool left = false;      ///< It announced its leaving and has not come back since.
     int confirmations = 0;  ///< Probes sent to confirm the suspicion.
+    millis round_trip{};    ///< Of recent answers, the longest weighs most; prolongs a suspicion of a slow host.
 
     friend bool operator==(const member_view&, const member_view&) = default;
 };
@@ -76,6 +78,8 @@
     bool leaving = false;
     membership_settings settings;
     std::map<host_id, member_view> others;
+    std::set<host_id> suspects;                       ///< Others in state suspect.
+    std::set<host_id> untold;                         ///< Others whose newest update may still be piggybacked.
     std::map<std::uint64_t, open_probe> open_probes;  ///< By sequence number.
     std::uint64_t next_sequence = 1;
     instant next_probe;
@@ -113,6 +117,9 @@
 /// Changes the state of a known host by this host's own observation and records the decision.
 void set_state(membership_state& state, const host_id& id, member_state changed, const std::string& observations, instant now);
 
+/// Restarts the suspicion time of a suspected host from which a message has just come. Its refutation may still be on the way.
+void note_sign_of_life(membership_state& state, const host_id& id, instant now);
+
 /// Adds hosts from the settings or the platform's list as alive, unless they are known already.
 void add_members(membership_state& state, const std::vector<member>& hosts, instant now);
 
--- a/src/camphorstack/hosts/membership_updates.cpp
+++ b/src/camphorstack/hosts/membership_updates.cpp
@@ -49,6 +49,16 @@
     state.records.push_back({now, kind, id, observations});
 }
 
+/// Keeps the sets of suspects and of untold updates in step with a changed view.
+void index_change(membership_state& state, const host_id& id, const member_view& view) {
+    state.untold.insert(id);
+    if (view.newest.state == member_state::suspect) {
+        state.suspects.insert(id);
+    } else {
+        state.suspects.erase(id);
+    }
+}
+
 void take_over(membership_state& state, member_view& view, const member_update& update, instant now) {
     const bool state_changed = view.newest.state != update.state;
     if (state_changed || view.newest.state == member_state::suspect) {
@@ -61,6 +71,7 @@
     view.newest = update;
     view.transmissions = 0;
     view.seen = true;
+    index_change(state, update.subject.id, view);
     if (state_changed) {
         record_change(state, update.subject.id, update.state, "incarnation=" + std::to_string(update.incarnation), now);
     }
@@ -80,7 +91,7 @@
             added.changed = now;
             added.seen = true;
             added.left = update.state == member_state::leaving;
-            state.others.emplace(id, added);
+            index_change(state, id, state.others.emplace(id, added).first->second);
             record_change(state, id, update.state, "learned_from=update", now);
         }
         return;
@@ -115,11 +126,18 @@
     const auto limit = transmission_limit(state.others.size());
     std::vector<std::pair<int, member_view*>> pending;
     std::vector<member_update> result;
-    for (auto& [id, view] : state.others) {
+    const auto receiver = state.others.find(to);
+    if (receiver != state.others.end() && receiver->second.newest.state != member_state::alive) {
         // A host that is not held alive is told so each time, so that it can refute.
-        if (id == to && view.newest.state != member_state::alive) {
-            result.push_back(view.newest);
-        } else if (id != to && view.seen && view.transmissions < limit) {
+        result.push_back(receiver->second.newest);
+    }
+    std::erase_if(state.untold, [&state, limit](const host_id& id) {
+        const auto known = state.others.find(id);
+        return known == state.others.end() || known->second.transmissions >= limit;
+    });
+    for (const auto& id : state.untold) {
+        if (id != to) {
+            auto& view = state.others.at(id);
             pending.emplace_back(view.transmissions, &view);
         }
     }
@@ -149,15 +167,33 @@
     view.changed = now;
     view.transmissions = 0;
     view.confirmations = 0;
+    index_change(state, id, view);
     record_change(state, id, changed, observations, now);
 }
 
+void note_sign_of_life(membership_state& state, const host_id& id, instant now) {
+    const auto known = state.others.find(id);
+    if (known != state.others.end() && known->second.newest.state == member_state::suspect) {
+        known->second.changed = now;
+        known->second.confirmations = 1;  // The next confirming probe waits, or each answer would cause several more.
+    }
+}
+
 probe_answer answer_probe(membership_state& state, const host_id& from, const probe& question, known_versions versions,
                           std::vector<evidence_entry> evidence, instant now) {
     const bool newcomer = !state.others.contains(from) || !state.others.at(from).seen;
+    note_sign_of_life(state, from, now);
     apply_updates(state, question.updates, now);
     probe_answer answer{question.sequence, versions.document, versions.members_epoch, {}, std::move(evidence)};
     answer.updates = choose_updates(state, from);
+    const auto about_self =
+        std::ranges::find(question.updates, state.self.id, [](const auto& update) { return update.subject.id; });
+    const auto own = own_update(state);
+    // A sender with another view of this host must hear the refutation, however often it was piggybacked before.
+    if (about_self != question.updates.end() && *about_self != own &&
+        std::ranges::find(answer.updates, own) == answer.updates.end()) {
+        answer.updates.push_back(own);
+    }
     const auto known = state.others.find(from);
     const auto claimed = std::ranges::find(question.updates, from, [](const auto& update) { return update.subject.id; });
     // A restarted host learns from the difference that it has to raise its incarnation.
--- a/tests/contracts/share_fleet.hpp
+++ b/tests/contracts/share_fleet.hpp
@@ -37,6 +37,7 @@
     virtual void submit(const host_id& host, const workspace_id& workspace) = 0;
     virtual void step() = 0;
     [[nodiscard]] virtual instant now() const = 0;
+    virtual void pause(const host_id& host, millis duration) = 0;
 
     std::map<workspace_id, service_counts> counts;
     std::vector<admission> admissions;
@@ -68,6 +69,11 @@
         }
     }
 
+    [[nodiscard]] std::size_t count(const workspace_id& workspace) const {
+        const auto found = this->waiting.find(workspace);
+        return found == this->waiting.end() ? 0 : found->second.size();
+    }
+
 private:
     std::map<workspace_id, std::deque<instant>> waiting;
 };
@@ -79,8 +85,8 @@
     /// A host that has not learned of a member list after this long has no recent evidence and serves nobody.
     static constexpr millis recency{2000};
 
-    share_fleet(std::uint64_t seed, document content, share_settings settings = {})
-        : network{seed, fleet_latency}, content{std::move(content)}, settings{settings} {}
+    share_fleet(std::uint64_t seed, document first_content, simulated_network<body>::latency_function latency = fleet_latency)
+        : network{seed, std::move(latency)}, content{std::move(first_content)}, settings{} {}
 
     simulated_network<body> network;
     bool loans = true;  ///< Without loans the shares are static.
@@ -134,7 +140,8 @@
     }
 
     void step() override {
-        this->network.step([this](const host_id& to, const host_id& from, const body& message) { this->deliver(to, from, message); });
+        this->network.step(
+            [this](const host_id& to, const host_id& from, const body& message) { this->deliver(to, from, message); });
         for (auto& [id, host] : this->hosts) {
             if (this->network.is_running(id)) {
                 this->run(id, host);
@@ -143,6 +150,7 @@
     }
 
     [[nodiscard]] instant now() const override { return this->network.now(); }
+    void pause(const host_id& host, millis duration) override { this->network.pause(host, duration); }
     [[nodiscard]] const share_state& shares(const host_id& id) const { return this->hosts.at(id).shares; }
 
 private:
@@ -186,9 +194,8 @@
             host.lists_due.erase(host.lists_due.begin());
         }
         const bool serving = this->is_recent(host);
-        host.waiting.serve(*this, this->network.now(), [&](const workspace_id& workspace) {
-            return serving && try_spend(host.shares, workspace, local);
-        });
+        host.waiting.serve(*this, this->network.now(),
+                           [&](const workspace_id& workspace) { return serving && try_spend(host.shares, workspace, local); });
         if (this->loans) {
             for (const auto& due : due_loan_requests(host.shares, local, this->network.random)) {
                 this->network.send(id, due.lender, due.request);
--- /dev/null
+++ b/tests/hosts/owners.tests.cpp
@@ -0,0 +1,81 @@
+#include "camphorstack/hosts/owners.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "hosts/membership_fleet.hpp"
+
+using namespace camphorstack;
+using namespace camphorstack::tests;
+
+namespace {
+
+std::vector<member> make_members(std::size_t count) {
+    std::vector<member> hosts;
+    for (std::size_t i = 0; i < count; ++i) {
+        hosts.push_back(make_member(i));
+    }
+    return hosts;
+}
+
+database make_database(std::size_t index) {
+    const auto id = "db" + std::to_string(index);
+    return {
+        id, "service", {{id + "-a", "dc0", {}, 2, 16, {}}, {id + "-b", "dc0", {}, 2, 16, {}}, {id + "-c", "dc1", {}, 2, 16, {}}}};
+}
+
+}  // namespace
+
+// Guards against a change of one host that moves databases between the others.
+TEST_CASE("owners move only from the host that leaves, to its standby", "[owners]") {
+    const auto hosts = make_members(16);
+    for (std::size_t i = 0; i < 300; ++i) {
+        const auto group = make_database(i);
+        const auto before = choose_group_hosts(group, {}, hosts);
+        CHECK(before.owner != before.standby);
+        for (const auto& leaving : hosts) {
+            auto rest = hosts;
+            std::erase(rest, leaving);
+            const auto after = choose_group_hosts(group, {}, rest);
+            CHECK(after.owner == (leaving.id == before.owner ? before.standby : before.owner));
+        }
+    }
+}
+
+// Guards against owners far from their instances, and in a data centre that is to receive no new work.
+TEST_CASE("owners prefer the data centre with most instances and avoid one that is out", "[owners]") {
+    const auto hosts = make_members(15);
+    document content;
+    content.data_centres = {{"dc0", "r", presence::in}, {"dc1", "r", presence::in}, {"dc2", "r", presence::in}};
+    std::size_t at_home = 0;
+    for (std::size_t i = 0; i < 300; ++i) {
+        at_home += data_centre_of(choose_group_hosts(make_database(i), content, hosts).owner) == 0 ? 1 : 0;
+    }
+    CHECK(at_home > 150);
+    content.data_centres[0].state = presence::out;
+    for (std::size_t i = 0; i < 300; ++i) {
+        const auto chosen = choose_group_hosts(make_database(i), content, hosts);
+        CHECK(data_centre_of(chosen.owner) != 0);
+        CHECK(data_centre_of(chosen.standby) != 0);
+    }
+    CHECK(choose_group_hosts(make_database(0), content, {make_member(0)}) == group_hosts{"h0", {}});
+    CHECK(choose_group_hosts(make_database(0), content, {}) == group_hosts{});
+}
+
+// Guards against a lone change of the list that replaces more than one watcher or holder.
+TEST_CASE("watchers and share holders change by at most one when a host leaves", "[owners]") {
+    const member_list members{1, make_members(40)};
+    const auto watchers = choose_watchers(members);
+    const auto holders = choose_share_holders(members, "w", 8, 16);
+    CHECK(watchers.size() == watcher_count);
+    CHECK(holders.size() == 8);
+    const auto kept = [](const std::vector<host_id>& before, const std::vector<host_id>& after) {
+        return std::ranges::count_if(before, [&after](const host_id& id) { return std::ranges::binary_search(after, id); });
+    };
+    for (std::size_t i = 0; i < members.hosts.size(); ++i) {
+        auto rest = members;
+        rest.hosts.erase(rest.hosts.begin() + static_cast<std::ptrdiff_t>(i));
+        CHECK(kept(watchers, choose_watchers(rest)) >= 8);
+        CHECK(kept(holders, choose_share_holders(rest, "w", 8, 16)) >= 7);
+    }
+    CHECK(choose_share_holders({1, make_members(16)}, "w", 8, 16).size() == 16);
+}
--- a/tests/support/simulated_network.hpp
+++ b/tests/support/simulated_network.hpp
@@ -25,7 +25,7 @@
 public:
     using latency_function = std::function<millis(const host_id&, const host_id&)>;
 
-    explicit simulated_network(std::uint64_t seed, latency_function one_way = {}) : random{seed}, one_way{std::move(one_way)} {}
+    explicit simulated_network(std::uint64_t seed, latency_function latency = {}) : random{seed}, one_way{std::move(latency)} {}
 
     link_faults faults;
     random_source random;
@@ -101,7 +101,8 @@
     };
 
     millis up_to(millis most) {
-        return millis{most.count > 0 ? static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(most.count + 1)) : 0};
+        return millis{most.count > 0 ? static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(most.count + 1))
+                                     : 0};
     }
 
     instant arrival(const host_id& from, const host_id& to) {
