--- a/src/camphorstack/links/caller_json.cpp
+++ b/src/camphorstack/links/caller_json.cpp
@@ -43,6 +43,9 @@
 public:
     explicit field_reader(const std::string& body) : parser(g_adopt(json_parser_new())) {
         check_text(body);
+        const auto on_member = +[](JsonParser*, JsonObject*, const char*, gpointer count) { ++*static_cast<guint*>(count); };
+        guint members = 0;
+        g_signal_connect(this->parser.get(), "object-member", G_CALLBACK(on_member), &members);
         if (json_parser_load_from_data(this->parser.get(), body.data(), static_cast<gssize>(body.size()), nullptr) == FALSE) {
             throw format_error("the body is not valid JSON");
         }
@@ -51,6 +54,10 @@
             throw format_error("the body must be a JSON object");
         }
         this->object = json_node_get_object(root);
+        // json-glib keeps the last of several fields of one name, where another reader may keep the first.
+        if (members != json_object_get_size(this->object)) {
+            throw format_error("a field is given more than once");
+        }
     }
 
     bool has(const char* name) {
--- a/src/camphorstack/links/caller_json.hpp
+++ b/src/camphorstack/links/caller_json.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "camphorstack/hosts/caller.hpp"
@@ -7,7 +8,7 @@
 namespace camphorstack {
 
 /// Largest request body in bytes.
-constexpr std::size_t caller_body_limit = 256 * 1024;
+constexpr std::size_t caller_body_limit = std::size_t{256} * 1024;
 
 /// Largest value of "timeout_ms"; a longer wait would hold a caller's slot after it has given up.
 constexpr millis longest_caller_timeout{60000};
--- a/src/camphorstack/links/caller_server.cpp
+++ b/src/camphorstack/links/caller_server.cpp
@@ -2,9 +2,6 @@
 
 #include <glog/logging.h>
 #include <libsoup/soup.h>
-#include <linux/tcp.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <map>
@@ -14,6 +11,7 @@
 #include <vector>
 
 #include "camphorstack/links/caller_json.hpp"
+#include "camphorstack/links/http_connection.hpp"
 #include "camphorstack/links/report_json.hpp"
 #include "camphorstack/links/request_headers.hpp"
 #include "camphorstack/support/deferred_calls.hpp"
@@ -36,8 +34,8 @@
 
 /// One HTTP request, from the moment the server waits for it until its answer is written.
 struct exchange {
+    g_pointer<SoupServerMessage> message;  ///< Keeps the message alive; the connection may release it without a signal.
     instant started;
-    std::uint64_t bytes_before = 0;     ///< Received on the connection before this request.
     std::optional<instant> first_byte;  ///< When the sweep first saw bytes of this request.
     std::size_t body_bytes = 0;
     header_check check;
@@ -48,24 +46,6 @@
     instant overdue;  ///< When a request with a ticket is ended as unknown.
 };
 
-/// Bytes received on the message's connection since it was opened; 0 if it is closed. libsoup does not tell when the first byte
-/// of a request arrives, which separates an idle connection from a slow sender.
-std::uint64_t received_bytes(SoupServerMessage* message) {
-    GSocket* socket = soup_server_message_get_socket(message);
-    tcp_info info{};
-    socklen_t length = sizeof(info);
-    if (socket == nullptr || getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
-        return 0;
-    }
-    return info.tcpi_bytes_received;
-}
-
-void cut_connection(SoupServerMessage* message) {
-    if (GSocket* socket = soup_server_message_get_socket(message); socket != nullptr) {
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-    }
-}
-
 void respond(SoupServerMessage* message, unsigned status, const char* type, const std::string& body, bool close) {
     soup_server_message_set_status(message, status, nullptr);
     soup_server_message_set_response(message, type, SOUP_MEMORY_COPY, body.data(), body.size());
@@ -188,9 +168,8 @@
         return;
     }
     exchange& open = this->exchanges[message];
-    open = {};
+    open.message = g_share(message);
     open.started = this->time.now();
-    open.bytes_before = received_bytes(message);
     const auto chunk = +[](SoupServerMessage* source, GBytes* bytes, gpointer data) {
         static_cast<state*>(data)->on_chunk(source, g_bytes_get_size(bytes));
     };
@@ -202,9 +181,9 @@
 void caller_server::state::forget(SoupServerMessage* message) {
     const auto found = this->exchanges.find(message);
     if (found != this->exchanges.end()) {
+        g_signal_handlers_disconnect_by_data(message, this);
         this->tickets.erase(found->second.ticket);
         this->exchanges.erase(found);
-        g_signal_handlers_disconnect_by_data(message, this);
     }
 }
 
@@ -247,6 +226,7 @@
     }
     exchange& open = found->second;
     open.complete = true;
+    mark_served(message);
     open.complete_at_us = g_get_monotonic_time();
     if (open.check.status != 0) {
         this->refuse(message, open.check.status, open.check.error, open.check.close_connection);
@@ -333,7 +313,7 @@
     if (open.complete) {
         return false;
     }
-    if (!open.first_byte && received_bytes(message) > open.bytes_before) {
+    if (!open.first_byte && has_request_begun(message)) {
         open.first_byte = now;
     }
     return open.first_byte ? now - *open.first_byte >= this->limits.request_time : now - open.started >= this->limits.idle_time;
