Test the links between peers under wrong secrets, garbage, silence and slow readers

The tests drive real loopback sockets: another secret, messages before the proof, the acceptor's challenge sent back, a forged sender, garbage, half handshakes, refused connections, full buffers, idle links and destruction while connecting.

--- a/tests/links/main_loop.hpp
+++ b/tests/links/main_loop.hpp
@@ -11,9 +11,11 @@
     const gint64 end = g_get_monotonic_time() + gint64{limit_ms} * microseconds_per_millisecond;
     const guint waker = g_timeout_add(
         wake_interval_ms, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; }, nullptr);
-    while (!condition() && g_get_monotonic_time() < end) {
+    bool holds = condition();
+    while (!holds && g_get_monotonic_time() < end) {
         g_main_context_iteration(nullptr, TRUE);
+        holds = condition();
     }
     g_source_remove(waker);
-    return condition();
+    return holds;
 }
--- a/tests/links/peer_links.tests.cpp
+++ b/tests/links/peer_links.tests.cpp
@@ -1,12 +1,15 @@
 #include "camphorstack/links/peer_links.hpp"
 
 #include <catch2/catch.hpp>
+#include <ctime>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "camphorstack/links/peer_codec.hpp"
 #include "camphorstack/support/errors.hpp"
 #include "links/main_loop.hpp"
+#include "links/raw_peer.hpp"
 
 using namespace camphorstack;
 
@@ -62,3 +65,194 @@
     CHECK(a.links.counters().opened == 1);
     CHECK(b.links.counters().accepted == 1);
 }
+
+TEST_CASE("a host with another secret is refused on both sides", "[peer-links]") {
+    test_host a("a");
+    test_host stranger("b", "quite another secret");
+    a.send("b", stranger.links.bound_address(), relay_probe{"c", 1});
+    REQUIRE(run_until([&] { return !a.all<peer_disconnected>().empty(); }));
+    CHECK(a.events.size() == 2);
+    CHECK(a.all<peer_not_sent>() == std::vector<peer_not_sent>{{"b", relay_probe{"c", 1}}});
+    CHECK(a.links.counters().wrong_secret == 1);
+    CHECK(stranger.links.counters().wrong_secret == 1);
+    CHECK(stranger.events.empty());
+}
+
+TEST_CASE("an opener is not trusted before its proof, and not under another name after it", "[peer-links]") {
+    test_host a("a");
+    const peer_message forged{"c", relay_probe{"x", 1}};
+    const peer_hello hello{"b", "a", make_nonce()};
+
+    SECTION("a message instead of the proof") {
+        raw_client client(a.links.bound_address());
+        client.send(framed(encode_hello(hello)) + framed(encode({"b", relay_probe{"x", 1}})));
+        CHECK(client.wait_closed());
+        CHECK(a.links.counters().wrong_secret == 1);
+    }
+    SECTION("the acceptor's own challenge sent back as proof") {
+        raw_client client(a.links.bound_address());
+        client.send(framed(encode_hello(hello)));
+        REQUIRE(run_until([&] { return client.poll(), client.received.size() >= 36; }));
+        client.send(client.received);
+        CHECK(client.wait_closed());
+        CHECK(a.links.counters().wrong_secret == 1);
+    }
+    SECTION("a message in another host's name") {
+        raw_client client(a.links.bound_address());
+        prove_as_opener(client, hello, fleet_secret);
+        client.send(framed(encode(forged)));
+        CHECK(client.wait_closed());
+        CHECK(a.links.counters().garbage == 1);
+        CHECK(run_until([&] { return a.all<peer_disconnected>() == std::vector<peer_disconnected>{{"b"}}; }));
+    }
+    SECTION("a hello for another host") {
+        raw_client client(a.links.bound_address());
+        client.send(framed(encode_hello({"b", "z", make_nonce()})));
+        CHECK(client.wait_closed());
+        CHECK(a.links.counters().garbage == 1);
+    }
+    CHECK(a.all<peer_message>().empty());
+}
+
+TEST_CASE("garbage on the peer port closes the connection and nothing else", "[peer-links]") {
+    test_host a("a");
+    const auto garbage = GENERATE(values<std::string>({
+        "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+        std::string(4, '\xff'),
+        std::string(4, '\0'),
+        std::string("\0\0\0\5hello", 9),
+        std::string(100'000, 'x'),
+    }));
+    raw_client client(a.links.bound_address());
+    client.send(garbage);
+    CHECK(client.wait_closed());
+    CHECK(run_until([&] { return a.links.counters().garbage == 1; }));
+    CHECK(a.events.empty());
+    CHECK(a.links.open_links() == 0);
+}
+
+TEST_CASE("half handshakes end after their time on both sides", "[peer-links]") {
+    peer_link_limits limits;
+    limits.handshake_time = millis{200};
+    test_host a("a", fleet_secret, limits);
+    raw_client silent(a.links.bound_address());
+    raw_client halfway(a.links.bound_address());
+    halfway.send(framed(encode_hello({"b", "a", make_nonce()})));
+    const raw_listener never_answers;
+    a.send("c", never_answers.address, relay_probe{"x", 1});
+    CHECK(silent.wait_closed());
+    CHECK(halfway.wait_closed());
+    REQUIRE(run_until([&] { return a.links.open_links() == 0; }));
+    CHECK(a.links.counters().timed_out == 3);
+    CHECK(run_until([&] { return a.all<peer_not_sent>().size() == 1; }));
+}
+
+TEST_CASE("unproved connections are bounded and free their places", "[peer-links]") {
+    peer_link_limits limits;
+    limits.unproved_links = 2;
+    limits.handshake_time = millis{300};
+    test_host a("a", fleet_secret, limits);
+    const raw_client first(a.links.bound_address());
+    const raw_client second(a.links.bound_address());
+    raw_client third(a.links.bound_address());
+    CHECK(third.wait_closed());
+    CHECK(a.links.counters().turned_away == 1);
+    REQUIRE(run_until([&] { return a.links.open_links() == 0; }));
+    test_host b("b");
+    b.send("a", a.links.bound_address(), relay_probe{"x", 1}, "b");
+    CHECK(run_until([&] { return a.all<peer_message>().size() == 1; }));
+}
+
+TEST_CASE("messages to a host that is not there come back as not sent", "[peer-links][not-run-is-true]") {
+    test_host a("a");
+    raw_listener gone;
+    gone.stop();
+    a.send("b", gone.address, relay_probe{"c", 1});
+    a.send("b", gone.address, relay_probe{"c", 2});
+    a.send("c", "not an address", relay_probe{"c", 3});
+    CHECK(a.events.empty());
+    REQUIRE(run_until([&] { return a.all<peer_disconnected>().size() == 2; }));
+    CHECK(a.all<peer_not_sent>().size() == 3);
+    CHECK(a.links.counters().unreachable == 2);
+}
+
+TEST_CASE("messages that wait for a link are bounded, and one above the frame limit is not sent", "[peer-links]") {
+    peer_link_limits limits;
+    limits.waiting_messages = 2;
+    test_host a("a", fleet_secret, limits);
+    test_host b("b");
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        a.send("b", b.links.bound_address(), relay_probe{"c", i});
+    }
+    a.send("b", b.links.bound_address(), document_reply{1, std::string(peer_frame_limit, 'x')});
+    REQUIRE(run_until([&] { return b.all<peer_message>().size() == 2; }));
+    CHECK(a.all<peer_not_sent>().size() == 2);
+    CHECK(a.links.counters().oversized == 1);
+}
+
+TEST_CASE("a peer that does not read is disconnected before its buffer grows without bound", "[peer-links]") {
+    test_host a("a");
+    raw_listener slow;
+    a.send("b", slow.address, relay_probe{"c", 1});
+    const int connection = slow.accept_peer(fleet_secret);
+    REQUIRE(run_until([&] { return a.all<peer_connected>().size() == 1; }));
+    const document_reply large{1, std::string(1'000'000, 'x')};
+    for (int i = 0; i < 30 && a.links.counters().overflowed == 0; ++i) {
+        a.send("b", slow.address, large);
+    }
+    CHECK(a.links.counters().overflowed == 1);
+    CHECK(run_until([&] { return a.all<peer_disconnected>().size() == 1; }));
+    close(connection);
+}
+
+TEST_CASE("a broken link is reported and the next message opens a new one", "[peer-links]") {
+    test_host a("a");
+    raw_listener first;
+    a.send("b", first.address, relay_probe{"c", 1});
+    close(first.accept_peer(fleet_secret));
+    REQUIRE(run_until([&] { return a.all<peer_disconnected>().size() == 1; }));
+    a.send("b", first.address, relay_probe{"c", 2});
+    close(first.accept_peer(fleet_secret));
+    CHECK(run_until([&] { return a.all<peer_connected>().size() == 2; }));
+}
+
+TEST_CASE("an idle link is closed without a report on either side", "[peer-links]") {
+    // Guards against a probe storm: a report would make the membership probe at once, which opens the link again.
+    peer_link_limits limits;
+    limits.idle_time = millis{100};
+    test_host a("a", fleet_secret, limits);
+    test_host b("b");
+    a.send("b", b.links.bound_address(), relay_probe{"c", 1});
+    REQUIRE(run_until([&] { return b.links.counters().idle_closed == 1; }));
+    CHECK(a.links.counters().idle_closed == 1);
+    CHECK(a.links.open_links() + b.links.open_links() == 0);
+    CHECK(a.all<peer_disconnected>().empty());
+    CHECK(b.all<peer_disconnected>().empty());
+}
+
+TEST_CASE("links that are destroyed while they connect leave nothing behind", "[peer-links]") {
+    const raw_listener never_answers;
+    {
+        test_host a("a");
+        a.send("b", never_answers.address, relay_probe{"c", 1});
+    }
+    CHECK_FALSE(run_until([] { return false; }, 50));
+}
+
+TEST_CASE("hundreds of idle links cost little CPU time", "[peer-links][cost]") {
+    // Guards against work for each link in each iteration of the main loop, which wakes 200 times per second here as in a host.
+    constexpr std::size_t link_count = 600;
+    constexpr int span_ms = 1000;
+    test_host a("a");
+    std::vector<std::unique_ptr<raw_client>> peers;
+    for (std::size_t i = 0; i < link_count; ++i) {
+        peers.push_back(std::make_unique<raw_client>(a.links.bound_address()));
+        prove_as_opener(*peers.back(), {"p" + std::to_string(i), "a", make_nonce()}, fleet_secret);
+    }
+    REQUIRE(run_until([&] { return a.links.counters().accepted == link_count; }));
+    const auto before = std::clock();
+    (void)run_until([] { return false; }, span_ms);
+    const double share = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC * 1000 / span_ms;
+    WARN("share of one core with " << link_count << " idle links: " << share);
+    CHECK(share < 0.1);
+}
--- a/tests/links/raw_client.hpp
+++ b/tests/links/raw_client.hpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstdint>
