--- a/src/camphorstack/cli/serve.hpp
+++ b/src/camphorstack/cli/serve.hpp
@@ -3,10 +3,14 @@
 #include <string>
 #include <vector>
 
+#include "camphorstack/cli/command.hpp"
+
 namespace camphorstack {
 
-/// Runs one host until SIGTERM or SIGINT and its graceful stop. `arguments` are those after the command's name; the flag
-/// --settings names the YAML settings file. Returns the exit code: 0 after a graceful stop, 1 after an error, which is logged.
+/// Runs one host until SIGTERM or SIGINT and its graceful stop. The flag --settings names the YAML settings file; there are no
+/// other arguments. Returns the exit code.
 int run_serve(const std::vector<std::string>& arguments);
 
+[[nodiscard]] command serve_command();
+
 }  // namespace camphorstack
