--- a/src/camphorstack/support/metrics.cpp
+++ b/src/camphorstack/support/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/histogram.hpp>
+#include <iomanip>
 #include <map>
 #include <sstream>
 #include <tuple>
@@ -16,6 +17,9 @@
 constexpr unsigned latency_buckets = 32;  ///< Each is about 46% wider than the one before it.
 constexpr double microseconds_per_second = 1'000'000;
 
+constexpr int sum_digits = 15;
+constexpr int bound_digits = 6;
+
 namespace bh = boost::histogram;
 using latency_axis = bh::axis::regular<double, bh::axis::transform::log>;
 using latency_histogram = decltype(bh::make_histogram_with(std::vector<std::uint64_t>(), latency_axis()));
