Add the load command's sources

A bounded load of sessions, each with its own counter in each database, that checks read-your-writes and lost or doubled ADDs. Not yet run against a fleet.

--- /dev/null
+++ b/src/camphorstack/cli/load.cpp
@@ -0,0 +1,142 @@
+#include "camphorstack/cli/load.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+#include <iostream>
+#include <map>
+#include <memory>
+
+#include "camphorstack/cli/load_direct.hpp"
+#include "camphorstack/cli/load_http.hpp"
+#include "camphorstack/cli/load_run.hpp"
+#include "camphorstack/support/errors.hpp"
+
+ABSL_FLAG(std::vector<std::string>, targets, {}, "daemons as ip:port,ip:port; with --direct one instance");
+ABSL_FLAG(std::vector<std::string>, keys, {}, "WORKSPACE=KEY,WORKSPACE=KEY");
+ABSL_FLAG(std::vector<std::string>, rates, {},
+          "WORKSPACE=REQUESTS_PER_S; without one, sessions send as fast as they get answers");
+ABSL_FLAG(std::vector<std::string>, entitled, {}, "WORKSPACE=REQUESTS_PER_S of the contract, for the worst-served workspace");
+ABSL_FLAG(std::string, route, "", "route of all requests");
+ABSL_FLAG(std::vector<std::string>, databases, {}, "databases, one chosen at random for each request");
+ABSL_FLAG(double, seconds, 10, "time of the load");
+ABSL_FLAG(std::uint64_t, requests, 0, "end after this many requests; 0: by time only");
+ABSL_FLAG(std::size_t, sessions, 4, "sessions of each workspace; one request open in each");
+ABSL_FLAG(double, read_share, 0.9, "share of reads");
+ABSL_FLAG(double, aged_share, 0, "share of the reads that accept data up to --max_age_ms old");
+ABSL_FLAG(int, max_age_ms, 1000, "age bound of these reads in milliseconds");
+ABSL_FLAG(double, transaction_share, 0, "share of the writes that are transactions of two statements");
+ABSL_FLAG(bool, roam, true, "sessions send each request to another daemon");
+ABSL_FLAG(int, slow_ms, 1000, "requests answered later than this count as slowed, in milliseconds");
+ABSL_FLAG(int, timeout_ms, 5000, "deadline sent with each statement, in milliseconds");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of all random choices");
+ABSL_FLAG(bool, direct, false, "send the same statements straight to an instance through libpq");
+
+namespace camphorstack {
+
+namespace {
+
+constexpr int exit_wrong_usage = 1;
+constexpr int exit_violation = 3;
+constexpr double ms_per_s = 1000;
+
+void parse_flags(const std::vector<std::string>& arguments) {
+    std::vector<std::string> words{"camphorstack load"};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> pointers;
+    pointers.reserve(words.size());
+    for (auto& word : words) {
+        pointers.push_back(word.data());
+    }
+    if (absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data()).size() != 1) {
+        throw format_error("load takes flags only");
+    }
+}
+
+std::map<std::string, std::string> pairs_of(const std::vector<std::string>& texts) {
+    std::map<std::string, std::string> pairs;
+    for (const auto& text : texts) {
+        const std::pair<std::string, std::string> pair = absl::StrSplit(text, absl::MaxSplits('=', 1));
+        pairs[pair.first] = pair.second;
+    }
+    return pairs;
+}
+
+double number_in(const std::map<std::string, std::string>& pairs, const std::string& name) {
+    const auto found = pairs.find(name);
+    double value = 0;
+    if (found != pairs.end() && (!absl::SimpleAtod(found->second, &value) || !(value > 0))) {
+        throw format_error("not a rate above 0: " + name + "=" + found->second);
+    }
+    return value;
+}
+
+std::vector<load_workspace> workspaces_from_flags() {
+    const auto rates = pairs_of(absl::GetFlag(FLAGS_rates));
+    const auto entitled = pairs_of(absl::GetFlag(FLAGS_entitled));
+    std::vector<load_workspace> workspaces;
+    for (const auto& [id, key] : pairs_of(absl::GetFlag(FLAGS_keys))) {
+        workspaces.push_back({id, key, number_in(rates, id), number_in(entitled, id)});
+    }
+    return workspaces;
+}
+
+load_plan plan_from_flags() {
+    load_plan plan;
+    plan.targets = absl::GetFlag(FLAGS_targets);
+    plan.workspaces = workspaces_from_flags();
+    plan.route = absl::GetFlag(FLAGS_route);
+    plan.databases = absl::GetFlag(FLAGS_databases);
+    plan.duration = millis{static_cast<std::int64_t>(absl::GetFlag(FLAGS_seconds) * ms_per_s)};
+    plan.most_requests = absl::GetFlag(FLAGS_requests);
+    plan.sessions = absl::GetFlag(FLAGS_sessions);
+    plan.read_share = absl::GetFlag(FLAGS_read_share);
+    plan.aged_share = absl::GetFlag(FLAGS_aged_share);
+    plan.max_age = millis{absl::GetFlag(FLAGS_max_age_ms)};
+    plan.transaction_share = absl::GetFlag(FLAGS_transaction_share);
+    plan.roam = absl::GetFlag(FLAGS_roam);
+    plan.slow = millis{absl::GetFlag(FLAGS_slow_ms)};
+    plan.timeout = millis{absl::GetFlag(FLAGS_timeout_ms)};
+    plan.seed = absl::GetFlag(FLAGS_seed);
+    plan.direct = absl::GetFlag(FLAGS_direct);
+    if (plan.targets.empty() || plan.workspaces.empty() || plan.databases.empty() || plan.sessions == 0) {
+        throw format_error("--targets, --keys and --databases are required, and at least one session");
+    }
+    if (plan.direct && (plan.targets.size() != 1 || plan.databases.size() != 1)) {
+        throw format_error("--direct takes one target and one database");
+    }
+    return plan;
+}
+
+}  // namespace
+
+std::vector<std::string> load_flags() {
+    return {"targets",           "keys",     "rates",    "entitled",   "route",      "databases",
+            "seconds",           "requests", "sessions", "read_share", "aged_share", "max_age_ms",
+            "transaction_share", "roam",     "slow_ms",  "timeout_ms", "seed",       "direct"};
+}
+
+int run_load(const std::vector<std::string>& arguments) {
+    load_plan plan;
+    try {
+        parse_flags(arguments);
+        plan = plan_from_flags();
+    } catch (const format_error& failure) {
+        std::cerr << failure.what() << '\n';
+        return exit_wrong_usage;
+    }
+    std::unique_ptr<load_transport> transport;
+    if (plan.direct) {
+        transport = std::make_unique<load_direct>(plan);
+    } else {
+        transport = std::make_unique<load_http>(plan);
+    }
+    const monotonic_clock time;
+    const auto measures = offer_load(plan, *transport);
+    std::cout << format_measures(measures, plan, time.now());
+    return measures.violations.empty() ? 0 : exit_violation;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/cli/load_direct.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "camphorstack/cli/load_plan.hpp"
+#include "camphorstack/cli/load_request.hpp"
+#include "camphorstack/endpoints/endpoint_call.hpp"
+#include "camphorstack/links/pg_connection.hpp"
+
+namespace camphorstack {
+
+/// Sends the load straight to one instance through libpq, for comparison with the way through the fleet. Each session has its own
+/// connection. The instance is made primary if it is not; on a term that another one holds, the writes are refused.
+class load_direct final : public load_transport {
+public:
+    explicit load_direct(const load_plan& offered);
+
+    void send(const load_request& request, callback done) override;
+
+private:
+    struct line {
+        std::unique_ptr<pg_connection> connection;
+        endpoint_call wanted;  ///< Of the load.
+        endpoint_call sent;    ///< `wanted`, or a call that finds out the term or makes the instance primary before it.
+        callback done;
+        bool in_transaction = false;
+    };
+
+    void open(std::size_t session);
+    void transmit(std::size_t session, const endpoint_call& call);
+    void on_answered(std::size_t session, const PGresult& rows);
+    void on_closed(std::size_t session);
+    void prepare(std::size_t session, const endpoint_answer& answer);
+    [[nodiscard]] endpoint_call call_of(const load_request& request);
+
+    const load_plan& plan;
+    fd_watcher watcher;
+    std::map<std::size_t, line> lines;
+    term_number term = 0;
+    call_id last_call = 0;
+};
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/cli/load_run.cpp
@@ -0,0 +1,218 @@
+#include "camphorstack/cli/load_run.hpp"
+
+#include <glib.h>
+
+#include <deque>
+#include <memory>
+#include <utility>
+
+#include "camphorstack/cli/load_session.hpp"
+#include "camphorstack/support/g_pointer.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+constexpr std::int64_t us_per_s = 1'000'000;
+constexpr guint pacing_interval_ms = 1;
+/// Pause of a session whose request was refused without being run, so that a closed loop does not spin.
+constexpr guint refused_pause_ms = 5;
+/// Tries of the last read of a counter, each after a pause; a fleet that serves nothing for longer has failed.
+constexpr int last_read_tries = 100;
+constexpr guint last_read_pause_ms = 100;
+
+/// Requests of one workspace that are due, when it offers a rate.
+struct pacer {
+    std::int64_t next_us = 0;
+    std::deque<std::int64_t> due_us;  ///< Waiting for a free session.
+};
+
+class runner {
+public:
+    runner(const load_plan& offered, load_transport& carrier);
+
+    load_measures run();
+
+private:
+    struct slot {
+        load_session session;
+        std::size_t workspace = 0;
+        bool busy = false;
+    };
+
+    static gboolean on_pace(gpointer self);
+
+    void pace();
+    void start(slot& free, std::int64_t due_us);
+    void finish_request(slot& used, std::int64_t due_us, const load_request& request, const load_answer& answer);
+    void read_last(slot& free, std::size_t database, int tries_left);
+    void check(slot& used, const load_answer& answer);
+    void pause(guint ms, std::function<void()> then);
+    [[nodiscard]] bool is_over() const;
+    [[nodiscard]] bool is_paced(const slot& used) const { return this->plan.workspaces[used.workspace].rate_per_s > 0; }
+
+    const load_plan& plan;
+    load_transport& transport;
+    random_source random;
+    monotonic_clock time;
+    instant end;
+    std::uint64_t started = 0;
+    std::size_t open = 0;  ///< Requests and pauses that have not ended.
+    std::deque<slot> slots;
+    std::vector<pacer> pacers;
+    load_measures measures;
+};
+
+std::string make_run_id(random_source& random) {
+    // Distinct for each start, so that the counters of an earlier run with the same seed do not count.
+    return std::to_string(random() % us_per_s) + "-" + std::to_string(g_get_real_time());
+}
+
+runner::runner(const load_plan& offered, load_transport& carrier)
+    : plan(offered), transport(carrier), random(offered.seed), pacers(offered.workspaces.size()) {
+    const auto run_id = make_run_id(this->random);
+    for (std::size_t workspace = 0; workspace < this->plan.workspaces.size(); ++workspace) {
+        for (std::size_t i = 0; i < this->plan.sessions; ++i) {
+            this->slots.push_back(
+                {load_session(this->plan, this->plan.workspaces[workspace], this->slots.size(), run_id), workspace, false});
+        }
+    }
+}
+
+bool runner::is_over() const {
+    return this->time.now() >= this->end || (this->plan.most_requests != 0 && this->started >= this->plan.most_requests);
+}
+
+load_measures runner::run() {
+    const auto now = this->time.now();
+    this->end = now + this->plan.duration;
+    this->measures = start_measures(this->plan, now);
+    for (auto& pacer : this->pacers) {
+        pacer.next_us = g_get_monotonic_time();
+    }
+    {
+        const g_source_handle pacing(g_timeout_add(pacing_interval_ms, &runner::on_pace, this));
+        while (!this->is_over() || this->open > 0) {
+            g_main_context_iteration(nullptr, TRUE);
+        }
+    }
+    finish_measures(this->measures, this->time.now());
+    for (auto& each : this->slots) {
+        this->read_last(each, 0, last_read_tries);
+    }
+    while (this->open > 0) {
+        g_main_context_iteration(nullptr, TRUE);
+    }
+    return std::move(this->measures);
+}
+
+gboolean runner::on_pace(gpointer self) {
+    static_cast<runner*>(self)->pace();
+    return G_SOURCE_CONTINUE;
+}
+
+void runner::pace() {
+    if (this->is_over()) {
+        return;
+    }
+    const auto now_us = g_get_monotonic_time();
+    for (std::size_t i = 0; i < this->pacers.size(); ++i) {
+        const double rate = this->plan.workspaces[i].rate_per_s;
+        while (rate > 0 && this->pacers[i].next_us <= now_us) {
+            this->pacers[i].due_us.push_back(this->pacers[i].next_us);
+            this->pacers[i].next_us += static_cast<std::int64_t>(static_cast<double>(us_per_s) / rate);
+        }
+    }
+    for (auto& each : this->slots) {
+        auto& due = this->pacers[each.workspace].due_us;
+        if (each.busy || (this->is_paced(each) && due.empty())) {
+            continue;
+        }
+        const auto due_us = this->is_paced(each) ? due.front() : now_us;
+        if (this->is_paced(each)) {
+            due.pop_front();
+        }
+        this->start(each, due_us);
+    }
+}
+
+void runner::start(slot& free, std::int64_t due_us) {
+    free.busy = true;
+    ++this->open;
+    ++this->started;
+    const auto request = free.session.next(this->random, this->time.now());
+    this->transport.send(request, [this, &free, due_us, request](const load_answer& answer) {
+        this->finish_request(free, due_us, request, answer);
+    });
+}
+
+void runner::finish_request(slot& used, std::int64_t due_us, const load_request& request, const load_answer& answer) {
+    --this->open;
+    const auto latency_us = g_get_monotonic_time() - due_us;
+    note_answer(this->measures, this->plan, used.session.workspace().id, request, answer, latency_us, this->time.now());
+    this->check(used, answer);
+    auto& due = this->pacers[used.workspace].due_us;
+    if (answer.outcome != request_outcome::done) {
+        this->pause(refused_pause_ms, [&used] { used.busy = false; });
+    } else if (this->is_over() || (this->is_paced(used) && due.empty())) {
+        used.busy = false;
+    } else if (this->is_paced(used)) {
+        const auto next_us = due.front();
+        due.pop_front();
+        this->start(used, next_us);
+    } else {
+        this->start(used, g_get_monotonic_time());
+    }
+}
+
+void runner::check(slot& used, const load_answer& answer) {
+    if (auto violation = used.session.receive(answer, this->time.now())) {
+        this->measures.violations.push_back(std::move(*violation));
+    }
+}
+
+void runner::read_last(slot& free, std::size_t database, int tries_left) {
+    if (database == this->plan.databases.size()) {
+        return;
+    }
+    ++this->open;
+    const auto request = free.session.last_read(this->plan.databases[database], this->random, this->time.now());
+    this->transport.send(request, [this, &free, database, tries_left](const load_answer& answer) {
+        --this->open;
+        if (answer.outcome == request_outcome::done) {
+            this->check(free, answer);
+            this->read_last(free, database + 1, last_read_tries);
+        } else if (tries_left == 0) {
+            this->measures.violations.push_back("database=" + this->plan.databases[database] + " cannot be read after the load");
+        } else {
+            this->pause(last_read_pause_ms,
+                        [this, &free, database, tries_left] { this->read_last(free, database, tries_left - 1); });
+        }
+    });
+}
+
+struct pause_end {
+    std::size_t* open = nullptr;
+    std::function<void()> then;
+};
+
+void runner::pause(guint ms, std::function<void()> then) {
+    ++this->open;
+    g_timeout_add(
+        ms,
+        [](gpointer data) -> gboolean {
+            const std::unique_ptr<pause_end> ended(static_cast<pause_end*>(data));
+            --*ended->open;
+            ended->then();
+            return G_SOURCE_REMOVE;
+        },
+        new pause_end{&this->open, std::move(then)});
+}
+
+}  // namespace
+
+load_measures offer_load(const load_plan& plan, load_transport& transport) {
+    return runner(plan, transport).run();
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/cli/load_session.cpp
@@ -0,0 +1,167 @@
+#include "camphorstack/cli/load_session.hpp"
+
+#include <cstdlib>
+#include <utility>
+
+namespace camphorstack {
+
+namespace {
+
+/// Statements of one transaction, each an ADD of 1.
+constexpr std::int64_t adds_per_transaction = 2;
+/// A write with a key is repeated at most this often; then it counts as unknown.
+constexpr int most_repetitions = 20;
+/// Of the writes outside of transactions, those that carry a key and may be repeated.
+constexpr double keyed_share = 0.5;
+
+double draw(random_source& random) {
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+std::size_t pick(random_source& random, std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+}
+
+std::int64_t to_number(const std::string& text) {
+    return std::strtoll(text.c_str(), nullptr, 10);
+}
+
+}  // namespace
+
+load_session::load_session(const load_plan& offered, const load_workspace& workspace, std::size_t session_number,
+                           const std::string& run_id)
+    : plan(offered), owner(workspace), number(session_number), name(run_id + "-" + std::to_string(session_number)) {}
+
+std::string load_session::counter_name() const {
+    return "load-" + this->name;
+}
+
+load_request load_session::request_of(request_kind kind, const database_id& database, random_source& random) {
+    load_request request;
+    request.session = this->number;
+    request.target = this->plan.roam ? pick(random, this->plan.targets.size()) : this->number % this->plan.targets.size();
+    request.key = this->owner.key;
+    request.kind = kind;
+    request.database = database;
+    request.session_token = this->tokens[database];
+    return request;
+}
+
+load_request load_session::new_write(const database_id& database, random_source& random) {
+    if (draw(random) < this->plan.transaction_share) {
+        return this->request_of(request_kind::begin, database, random);
+    }
+    auto request = this->request_of(request_kind::write, database, random);
+    request.statement = "ADD " + this->counter_name() + " 1";
+    if (draw(random) < keyed_share) {
+        request.idempotency_key = this->name + "-" + std::to_string(++this->keys_used);
+    }
+    return request;
+}
+
+load_request load_session::transaction_step(random_source& random) {
+    const bool complete = this->transaction->added == adds_per_transaction;
+    auto request = this->request_of(complete ? request_kind::commit : request_kind::statement, this->current.database, random);
+    request.transaction = this->transaction->token;
+    request.target = this->plan.roam ? request.target : this->transaction->target;
+    if (!complete) {
+        request.statement = "ADD " + this->counter_name() + " 1";
+    }
+    return request;
+}
+
+load_request load_session::next(random_source& random, instant now) {
+    if (this->transaction) {
+        this->current = this->transaction_step(random);
+    } else if (this->repeat) {
+        const auto target = this->request_of(request_kind::write, this->repeat->database, random).target;
+        this->current = *std::exchange(this->repeat, std::nullopt);
+        this->current.target = target;
+    } else {
+        const auto& database = this->plan.databases[pick(random, this->plan.databases.size())];
+        if (draw(random) >= this->plan.read_share) {
+            this->current = this->new_write(database, random);
+        } else {
+            this->current = this->last_read(database, random, now);
+            if (draw(random) < this->plan.aged_share) {
+                this->current.max_age = this->plan.max_age;
+                this->current.session_token.clear();
+            }
+        }
+    }
+    this->sent = now;
+    return this->current;
+}
+
+load_request load_session::last_read(const database_id& database, random_source& random, instant now) {
+    this->transaction.reset();
+    this->current = this->request_of(request_kind::read, database, random);
+    this->current.statement = "GET " + this->counter_name();
+    this->sent = now;
+    return this->current;
+}
+
+std::optional<std::string> load_session::receive(const load_answer& answer, instant now) {
+    const bool aged = this->current.max_age.has_value();
+    if (answer.outcome == request_outcome::done && !answer.session_token.empty() && !aged) {
+        this->tokens[this->current.database] = answer.session_token;
+    }
+    std::optional<std::string> violation;
+    if (this->current.kind == request_kind::read) {
+        violation = this->receive_read(answer);
+    } else if (this->current.kind == request_kind::write) {
+        violation = this->receive_write(answer, now);
+    } else {
+        this->receive_transaction(answer, now);
+    }
+    if (violation) {
+        violation = "database=" + this->current.database + " session=" + this->name + " kind=" + to_string(this->current.kind) +
+                    " served_by=" + answer.served_by + " " + *violation;
+    }
+    return violation;
+}
+
+std::optional<std::string> load_session::receive_read(const load_answer& answer) {
+    if (answer.outcome != request_outcome::done) {
+        return std::nullopt;
+    }
+    auto& counter = this->counters[this->current.database];
+    const auto value = to_number(answer.result);
+    return this->current.max_age ? check_aged_read(counter, value, this->sent, *this->current.max_age)
+                                 : check_read(counter, value);
+}
+
+std::optional<std::string> load_session::receive_write(const load_answer& answer, instant now) {
+    auto& counter = this->counters[this->current.database];
+    const bool is_first = this->repetitions == 0;
+    const bool was_unknown = answer.outcome == request_outcome::unknown || (!is_first && answer.outcome != request_outcome::done);
+    if (was_unknown && !this->current.idempotency_key.empty() && this->repetitions < most_repetitions) {
+        ++this->repetitions;
+        this->repeat = this->current;
+        return std::nullopt;
+    }
+    this->repetitions = 0;
+    std::optional<std::string> violation;
+    if (answer.outcome == request_outcome::done) {
+        violation = check_add(counter, 1, to_number(answer.result));
+    }
+    // A repetition that was refused leaves open whether the first attempt ran.
+    note_add(counter, 1, was_unknown ? request_outcome::unknown : answer.outcome, now);
+    return violation;
+}
+
+void load_session::receive_transaction(const load_answer& answer, instant now) {
+    const bool done = answer.outcome == request_outcome::done;
+    if (this->current.kind == request_kind::begin && done) {
+        this->transaction = transaction_progress{answer.transaction, this->current.target, 0};
+    } else if (this->current.kind == request_kind::statement && done) {
+        ++this->transaction->added;
+    } else {
+        if (this->current.kind == request_kind::commit) {
+            note_add(this->counters[this->current.database], adds_per_transaction, answer.outcome, now);
+        }
+        this->transaction.reset();
+    }
+}
+
+}  // namespace camphorstack
