--- a/src/camphorstack/cli/serve.cpp
+++ b/src/camphorstack/cli/serve.cpp
@@ -1,15 +1,16 @@
 #include "camphorstack/cli/serve.hpp"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
 #include <glib-unix.h>
 #include <glog/logging.h>
 
 #include <csignal>
-#include <fstream>
+#include <iostream>
 #include <random>
 #include <sstream>
 
+#include "camphorstack/cli/exit_codes.hpp"
+#include "camphorstack/cli/files.hpp"
 #include "camphorstack/hosts/host_task.hpp"
 #include "camphorstack/links/socket_links.hpp"
 #include "camphorstack/settings/daemon_settings.hpp"
@@ -20,33 +21,20 @@
 
 namespace {
 
-std::string read_file(const std::string& path) {
-    std::ifstream file(path);
-    if (!file) {
-        throw io_error("cannot read the settings file \"" + path + "\"");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
-void parse_flags(const std::vector<std::string>& arguments) {
-    std::vector<std::string> words{"camphorstack serve"};
-    words.insert(words.end(), arguments.begin(), arguments.end());
-    std::vector<char*> pointers;
-    pointers.reserve(words.size());
-    for (auto& word : words) {
-        pointers.push_back(word.data());
-    }
-    absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
-}
-
 random_source seeded_random() {
     std::random_device device;
     std::seed_seq seed{device(), device(), device(), device()};
     return random_source(seed);
 }
 
+/// Differs at each start of a host, so that request ids of an earlier process are never used again.
+std::string make_start_nonce() {
+    std::random_device device;
+    std::ostringstream text;
+    text << std::hex << device() << device();
+    return text.str();
+}
+
 struct main_loop_deleter {
     void operator()(GMainLoop* loop) const { g_main_loop_unref(loop); }
 };
@@ -74,21 +62,34 @@
 }  // namespace
 
 int run_serve(const std::vector<std::string>& arguments) {
-    parse_flags(arguments);
+    const std::string file = absl::GetFlag(FLAGS_settings);
+    if (!arguments.empty() || file.empty()) {
+        std::cerr << "usage: camphorstack serve --settings=FILE\n";
+        return exit_usage;
+    }
     FLAGS_logtostderr = true;
     if (!google::IsGoogleLoggingInitialized()) {
         google::InitGoogleLogging("camphorstack");
     }
     // A connection that its other side has closed is reported by the write itself.
     std::signal(SIGPIPE, SIG_IGN);
-    try {
-        const std::string file = absl::GetFlag(FLAGS_settings);
-        serve(parse_settings(read_file(file), file));
-        return 0;
-    } catch (const error& failure) {
-        LOG(ERROR) << "event=serve_failed cause=\"" << failure.what() << '"';
-        return 1;
-    }
+    auto settings = parse_settings(read_file(file), file);
+    settings.host.start_nonce = make_start_nonce();
+    serve(settings);
+    return exit_ok;
+}
+
+command serve_command() {
+    return {"serve",
+            "run one host of the fleet until SIGTERM or SIGINT",
+            "usage: camphorstack serve --settings=FILE\n\n"
+            "On SIGTERM or SIGINT the host leaves the balancer and the fleet, finishes the requests in flight, then exits.\n\n"
+            "examples:\n"
+            "  camphorstack serve --settings=amman-1.yaml\n\n"
+            "exit codes: 0 stopped gracefully; 1 wrong usage, unreadable file or address in use; 2 the settings have errors\n",
+            {"settings"},
+            {},
+            &run_serve};
 }
 
 }  // namespace camphorstack
