--- a/tools/local_fleet.sh
+++ b/tools/local_fleet.sh
@@ -1,8 +1,9 @@
 # Functions that start a small fleet on loopback: the platform stand-in, three instances of one database and three daemons.
-# Sourced by tools/run-local and tools/chaos. Ports: CAMPHORSTACK_PORT_BASE (default 47100) and the 30 above it.
+# Sourced by tools/run-local and tools/chaos. Ports: CAMPHORSTACK_PORT_BASE (default 27100) and the 30 above it. The default lies
+# below the range from which Linux takes the ports of outgoing connections: in it, a port may be taken when a daemon starts.
 # shellcheck shell=bash
 
-port_base="${CAMPHORSTACK_PORT_BASE:-47100}"
+port_base="${CAMPHORSTACK_PORT_BASE:-27100}"
 platform_address="127.0.0.1:$port_base"
 centres=(amman-a irbid-a aqaba-a)
 workspace_ids=(counters-north counters-south archive)
