--- a/src/camphorstack/document/checks.cpp
+++ b/src/camphorstack/document/checks.cpp
@@ -23,12 +23,13 @@
 /// Reports values that occur more than once.
 class unique_values {
 public:
-    unique_values(error_list& sink, std::string section_name, std::string description)
-        : errors(sink), section(std::move(section_name)), what(std::move(description)) {}
+    /// `name` names the surrounding object, such as "route \"main\": "; empty for the section itself.
+    unique_values(error_list& sink, std::string section_name, std::string description, std::string name = "")
+        : errors(sink), section(std::move(section_name)), what(std::move(description)), place(std::move(name)) {}
 
     void add(const std::string& value) {
         if (!value.empty() && !this->seen.insert(value).second) {
-            this->errors.add(this->section, 0, "duplicate " + this->what + " \"" + value + "\"");
+            this->errors.add(this->section, 0, this->place + "duplicate " + this->what + " \"" + value + "\"");
         }
     }
 
@@ -36,13 +37,14 @@
     error_list& errors;
     std::string section;
     std::string what;
+    std::string place;
     std::set<std::string> seen;
 };
 
 void check_unique_keys(const document& content, error_list& errors) {
     unique_values hashes{errors, "tenancy", "sha256"};
     for (const auto& owner : content.workspaces) {
-        unique_values ids{errors, "tenancy", "key id of workspace \"" + owner.id + "\""};
+        unique_values ids{errors, "tenancy", "key id", "workspace \"" + owner.id + "\": "};
         for (const auto& key : owner.keys) {
             ids.add(key.id);
             // One hash in two workspaces would let a caller of one act as the other.
@@ -90,7 +92,7 @@
     unique_values routes{errors, "tenancy", "route id"};
     for (const auto& item : content.routes) {
         routes.add(item.id);
-        unique_values members{errors, "tenancy", "workspace of route \"" + item.id + "\""};
+        unique_values members{errors, "tenancy", "workspace", "route \"" + item.id + "\": "};
         std::ranges::for_each(item.workspaces, [&](const auto& id) { members.add(id); });
     }
     unique_values data_centres{errors, "data_centres", "data centre id"};
--- a/src/camphorstack/document/json_tree.cpp
+++ b/src/camphorstack/document/json_tree.cpp
@@ -1,6 +1,7 @@
 #include "camphorstack/document/json_tree.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdint>
 #include <set>
 #include <string_view>
@@ -44,6 +45,20 @@
     return {};
 }
 
+/// Takes the line out of a message of json-glib, "<data>:LINE:COLUMN: text"; the parser itself has forgotten it by then.
+json_fault syntax_fault(const std::string& message) {
+    const std::string prefix = "<data>:";
+    int line = 0;
+    const auto result = message.starts_with(prefix)
+                            ? std::from_chars(message.data() + prefix.size(), message.data() + message.size(), line)
+                            : std::from_chars_result{message.data(), std::errc::invalid_argument};
+    const auto text_start = message.find(": ");
+    if (result.ec != std::errc{} || text_start == std::string::npos) {
+        return {0, "not valid JSON: " + message};
+    }
+    return {line, "not valid JSON: " + message.substr(text_start + 2)};
+}
+
 std::string generate(JsonNode* node, bool pretty) {
     const auto generator = g_adopt(json_generator_new());
     json_generator_set_root(generator.get(), node);
@@ -111,9 +126,8 @@
     g_signal_connect(parser.get(), "object-end", G_CALLBACK(&scan::on_object_end), &observed);
     GError* failure = nullptr;
     if (json_parser_load_from_data(parser.get(), text.data(), static_cast<gssize>(text.size()), &failure) == FALSE) {
-        const std::string reason = failure == nullptr ? "unknown error" : failure->message;
-        g_clear_error(&failure);
-        this->found_faults.push_back({scan::line_in(parser.get()), "not valid JSON: " + reason});
+        const g_error_pointer reason{failure};
+        this->found_faults.push_back(syntax_fault(reason ? reason->message : "unknown error"));
         return;
     }
     this->root_node.reset(json_parser_steal_root(parser.get()));
--- a/tests/settings/parse_settings.tests.cpp
+++ b/tests/settings/parse_settings.tests.cpp
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
-#include <random>
 
 #include "camphorstack/settings/daemon_settings.hpp"
+#include "support/mutation.hpp"
 
 using namespace camphorstack;
 
@@ -126,23 +126,7 @@
     std::mt19937_64 random{20260101};
     int refused = 0;
     for (int run = 0; run < 5000; ++run) {
-        std::string text = original;
-        for (auto edits = 1 + random() % 4; edits > 0; --edits) {
-            const auto at = random() % text.size();
-            switch (random() % 4) {
-                case 0:
-                    text[at] = alphabet[random() % alphabet.size()];
-                    break;
-                case 1:
-                    text.insert(at, 1, alphabet[random() % alphabet.size()]);
-                    break;
-                case 2:
-                    text.erase(at, 1 + random() % 8);
-                    break;
-                default:
-                    text.insert(at, text.substr(random() % text.size(), random() % 40));
-            }
-        }
+        const auto text = mutate(original, alphabet, random);
         try {
             static_cast<void>(parse_settings(text, "a.yaml"));
         } catch (const settings_error&) {
