--- /dev/null
+++ b/src/camphorstack/cli/serve.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "camphorstack/cli/command.hpp"
+
+namespace camphorstack {
+
+/// Runs one host until SIGTERM or SIGINT and its graceful stop. The flag --settings names the YAML settings file; there are no
+/// other arguments. Returns the exit code.
+int run_serve(const std::vector<std::string>& arguments);
+
+[[nodiscard]] command serve_command();
+
+}  // namespace camphorstack
