Use the one JSON writer and node holder of support/json.hpp

Change: cli/json_writer is removed; json_tree uses json_node_pointer. The status and explain commands read the position, the connections and the refusals in the form that links/report_json writes as well as in the agreed one.

--- a/src/camphorstack/cli/fleet_explanation.cpp
+++ b/src/camphorstack/cli/fleet_explanation.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "camphorstack/cli/json_writer.hpp"
 #include "camphorstack/cli/table.hpp"
+#include "camphorstack/support/json.hpp"
 
 namespace camphorstack {
 
@@ -40,16 +40,19 @@
 
 std::string format_explanation_json(const fleet_explanation& explanation) {
     json_writer out;
-    out.objects("decisions", explanation.decisions, [&](const auto& item) {
-        out.text("host", item.host);
-        out.number("age_ms", item.age_ms);
-        out.text("kind", item.kind);
-        out.text("subject", item.subject);
-        out.text("observations", item.observations);
-    });
-    out.counts("refused", explanation.refused);
-    out.objects("no_answer", explanation.silent, [&](const auto& host) { out.text("host", host); });
-    return out.finish();
+    out.begin_object().name("decisions").begin_array();
+    for (const auto& item : explanation.decisions) {
+        out.begin_object().field("host", item.host).field("age_ms", item.age_ms).field("kind", item.kind);
+        out.field("subject", item.subject).field("observations", item.observations).end_object();
+    }
+    out.end_array().name("refused").begin_object();
+    for (const auto& [reason, count] : explanation.refused) {
+        out.field(reason.c_str(), count);
+    }
+    out.end_object().name("no_answer").begin_array();
+    std::ranges::for_each(explanation.silent, [&](const auto& host) { out.value(host); });
+    out.end_array().end_object();
+    return out.text();
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/cli/fleet_status_json.cpp
+++ b/src/camphorstack/cli/fleet_status_json.cpp
@@ -1,67 +1,65 @@
+#include <algorithm>
+
 #include "camphorstack/cli/fleet_status.hpp"
-#include "camphorstack/cli/json_writer.hpp"
+#include "camphorstack/support/json.hpp"
 
 namespace camphorstack {
 
 namespace {
 
 void write_host(json_writer& out, const fleet_host& host) {
-    out.text("id", host.listed.subject.id);
-    out.text("http_address", host.listed.subject.http_address);
-    out.text("data_centre", host.listed.subject.location);
-    out.text("state", host.listed.state);
-    out.boolean("answered", host.status.has_value());
+    out.begin_object().field("id", host.listed.subject.id).field("http_address", host.listed.subject.http_address);
+    out.field("data_centre", host.listed.subject.location).field("state", host.listed.state);
+    out.field("answered", host.status.has_value());
     if (host.status) {
-        out.number("version", static_cast<std::int64_t>(host.status->version));
-        out.text("serving", host.status->serving);
-        out.boolean("leaving", host.status->leaving);
+        out.field("version", host.status->version).field("serving", host.status->serving);
+        out.field("leaving", host.status->leaving);
     } else {
-        out.text("fault", host.fault);
+        out.field("fault", host.fault);
     }
+    out.end_object();
 }
 
 void write_endpoint(json_writer& out, const endpoint_status& item) {
-    out.text("id", item.id);
-    out.boolean("reachable", item.reachable);
-    out.text("role", item.role);
-    out.number("term", static_cast<std::int64_t>(item.term));
-    out.begin_object("position");
-    out.number("term", static_cast<std::int64_t>(item.position.term));
-    out.number("index", static_cast<std::int64_t>(item.position.index));
-    out.end_object();
-    out.number("replication_age_ms", item.replication_age_ms);
-    out.number("open_connections", item.open_connections);
+    out.begin_object().field("id", item.id).field("reachable", item.reachable).field("role", item.role);
+    out.field("term", item.term).name("position").begin_object();
+    out.field("term", item.position.term).field("index", item.position.index).end_object();
+    out.field("replication_age_ms", item.replication_age_ms).field("open_connections", item.open_connections).end_object();
 }
 
 void write_database(json_writer& out, const fleet_database& entry) {
-    out.text("id", entry.status.id);
-    out.text("seen_by", entry.seen_by);
-    out.text("owner", entry.status.owner);
-    out.text("standby", entry.status.standby);
-    out.text("duty", entry.status.duty);
-    out.number("in_flight", entry.status.in_flight);
-    out.objects("endpoints", entry.status.endpoints, [&](const auto& item) { write_endpoint(out, item); });
+    out.begin_object().field("id", entry.status.id).field("seen_by", entry.seen_by).field("owner", entry.status.owner);
+    out.field("standby", entry.status.standby).field("duty", entry.status.duty).field("in_flight", entry.status.in_flight);
+    out.name("endpoints").begin_array();
+    std::ranges::for_each(entry.status.endpoints, [&](const auto& item) { write_endpoint(out, item); });
+    out.end_array().end_object();
+}
+
+void write_workspace(json_writer& out, const workspace_status& item) {
+    out.begin_object().field("id", item.id).field("rate_per_s", item.rate_per_s).field("burst", item.burst);
+    out.field("admitted", item.admitted).name("refused").begin_object();
+    for (const auto& [reason, count] : item.refused) {
+        out.field(reason.c_str(), count);
+    }
+    out.end_object().end_object();
 }
 
 }  // namespace
 
 std::string format_status_json(const fleet_status& status) {
     json_writer out;
-    out.objects("hosts", status.hosts, [&](const auto& item) { write_host(out, item); });
-    out.objects("data_centres", status.data_centres, [&](const auto& item) {
-        out.text("id", item.id);
-        out.text("region", item.region);
-        out.text("state", item.state);
-    });
-    out.objects("databases", status.databases, [&](const auto& item) { write_database(out, item); });
-    out.objects("workspaces", status.workspaces, [&](const auto& item) {
-        out.text("id", item.id);
-        out.number("rate_per_s", item.rate_per_s);
-        out.number("burst", item.burst);
-        out.number("admitted", static_cast<std::int64_t>(item.admitted));
-        out.counts("refused", item.refused);
-    });
-    return out.finish();
+    out.begin_object().name("hosts").begin_array();
+    std::ranges::for_each(status.hosts, [&](const auto& item) { write_host(out, item); });
+    out.end_array().name("data_centres").begin_array();
+    for (const auto& item : status.data_centres) {
+        out.begin_object().field("id", item.id).field("region", item.region).field("state", item.state).end_object();
+    }
+    out.end_array().name("databases").begin_array();
+    std::ranges::for_each(status.databases, [&](const auto& item) { write_database(out, item); });
+    out.end_array().name("workspaces").begin_array();
+    std::ranges::for_each(status.workspaces, [&](const auto& item) { write_workspace(out, item); });
+    out.end_array().end_object();
+    return out.text();
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/cli/host_status.cpp
+++ b/src/camphorstack/cli/host_status.cpp
@@ -62,13 +62,18 @@
 
 endpoint_status read_endpoint(JsonObject* item) {
     JsonObject* position = object_member(item, "position");
+    // Hosts write the position in one of two forms.
+    const log_position where = position == nullptr
+                                   ? log_position{count_of(item, "position_term"), count_of(item, "position_index")}
+                                   : log_position{count_of(position, "term"), count_of(position, "index")};
+    const char* connections = json_object_has_member(item, "connections") != FALSE ? "connections" : "open_connections";
     return {text_of(item, "id"),
             boolean_member(item, "reachable").value_or(false),
             text_of(item, "role"),
             count_of(item, "term"),
-            {count_of(position, "term"), count_of(position, "index")},
+            where,
             number_of(item, "replication_age_ms"),
-            number_of(item, "open_connections")};
+            number_of(item, connections)};
 }
 
 database_status read_database(JsonObject* item) {
@@ -109,6 +114,13 @@
     for (auto& decision : explanation.decisions) {
         decision.host = explanation.id;
     }
+    if (object_member(root, "refused") == nullptr) {
+        for (const auto& entry : items_of(root, "workspaces", &read_workspace)) {
+            for (const auto& [reason, count] : entry.refused) {
+                explanation.refused[reason] += count;
+            }
+        }
+    }
     return explanation.id.empty() ? std::nullopt : std::optional{std::move(explanation)};
 }
 
--- a/src/camphorstack/document/document_file.cpp
+++ b/src/camphorstack/document/document_file.cpp
@@ -23,7 +23,7 @@
     if (found == sections.end()) {
         return std::nullopt;
     }
-    const json_node_handle node{json_node_new(JSON_NODE_OBJECT)};
+    const json_node_pointer node{json_node_new(JSON_NODE_OBJECT)};
     json_node_set_object(node.get(), found->second.content);
     return section_entry{found->second.version, found->second.change_id, to_pretty_json_text(node.get())};
 }
--- a/src/camphorstack/document/json_tree.hpp
+++ b/src/camphorstack/document/json_tree.hpp
@@ -3,18 +3,13 @@
 #include <json-glib/json-glib.h>
 
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace camphorstack {
+#include "camphorstack/support/json.hpp"
 
-/// Owning handle of a json-glib node.
-struct json_node_deleter {
-    void operator()(JsonNode* node) const { json_node_unref(node); }
-};
-using json_node_handle = std::unique_ptr<JsonNode, json_node_deleter>;
+namespace camphorstack {
 
 /// An error that the JSON parser found.
 struct json_fault {
@@ -41,7 +36,7 @@
 private:
     struct scan;
 
-    json_node_handle root_node;
+    json_node_pointer root_node;
     std::vector<json_fault> found_faults;
     std::map<JsonObject*, int> lines;
 };
--- a/src/camphorstack/document/members.cpp
+++ b/src/camphorstack/document/members.cpp
@@ -15,7 +15,7 @@
     }
     JsonObject* root = json_object_new();
     json_object_set_array_member(root, "hosts", items);
-    const json_node_handle node{json_node_new(JSON_NODE_OBJECT)};
+    const json_node_pointer node{json_node_new(JSON_NODE_OBJECT)};
     json_node_take_object(node.get(), root);
     return to_json_text(node.get());
 }
--- a/src/camphorstack/document/merge.cpp
+++ b/src/camphorstack/document/merge.cpp
@@ -21,7 +21,7 @@
     }
     JsonObject* root = json_object_new();
     json_object_set_object_member(root, "sections", entries);
-    const json_node_handle node{json_node_new(JSON_NODE_OBJECT)};
+    const json_node_pointer node{json_node_new(JSON_NODE_OBJECT)};
     json_node_take_object(node.get(), root);
     return to_json_text(node.get());
 }
--- a/src/camphorstack/document/term_record.cpp
+++ b/src/camphorstack/document/term_record.cpp
@@ -6,7 +6,7 @@
     JsonObject* root = json_object_new();
     json_object_set_int_member(root, "last_term", static_cast<gint64>(record.last_term));
     json_object_set_string_member(root, "writer", record.writer.c_str());
-    const json_node_handle node{json_node_new(JSON_NODE_OBJECT)};
+    const json_node_pointer node{json_node_new(JSON_NODE_OBJECT)};
     json_node_take_object(node.get(), root);
     return to_json_text(node.get());
 }
