Wait for a dead host until its evidence is stale

Until 2 s after the acceptance such a host may still hold evidence of the older version and serve by it.

Change: a dead host that does not answer counts as lagging until the lifetime of evidence has passed since the acceptance, and is then named. Status pages are given up after 1 s instead of 2 s, so that a round ends within the time to wait.

Shown failing first, with the rule switched off: fleet_status.tests.cpp { "d (no answer)" } == { "c (no answer)", "d (no answer)" }.

--- a/src/camphorstack/cli/apply.cpp
+++ b/src/camphorstack/cli/apply.cpp
@@ -95,29 +95,36 @@
     return exit_unsettled;
 }
 
-/// Hosts without the version, or the reason why they are not known.
-std::vector<std::string> ask_for_lagging(const std::string& host, document_version version) {
+/// One round of questions to all hosts.
+struct wait_round {
+    std::vector<std::string> lagging;  ///< Hosts without the version, or the reason why they are not known.
+    std::vector<host_id> dead;
+};
+
+wait_round ask_hosts(const std::string& host, document_version version, millis waited) {
     try {
-        return lagging_hosts(fetch_fleet(host), version);
+        const auto hosts = fetch_fleet(host);
+        return {lagging_hosts(hosts, version, waited), dead_hosts(hosts)};
     } catch (const io_error& failure) {
-        return {failure.what()};
+        return {{failure.what()}, {}};
     }
 }
 
 int wait_until_in_force(const std::string& host, document_version version, millis limit) {
     const monotonic_clock clock;
-    const instant deadline = clock.now() + limit;
-    auto lagging = ask_for_lagging(host, version);
-    while (!lagging.empty() && clock.now() < deadline) {
+    const instant start = clock.now();
+    auto round = ask_hosts(host, version, millis{0});
+    while (!round.lagging.empty() && clock.now() - start < limit) {
         pause();
-        lagging = ask_for_lagging(host, version);
+        round = ask_hosts(host, version, clock.now() - start);
     }
-    if (lagging.empty()) {
+    if (round.lagging.empty()) {
+        std::ranges::for_each(round.dead, [](const auto& id) { std::cerr << "dead and without evidence: " << id << '\n'; });
         std::cout << "in force on all hosts version=" << version << '\n';
         return exit_ok;
     }
-    std::cerr << "not in force after " << limit.count << "ms:\n";
-    std::ranges::for_each(lagging, [](const auto& line) { std::cerr << "  " << line << '\n'; });
+    std::cerr << "not in force after " << (clock.now() - start).count << "ms:\n";
+    std::ranges::for_each(round.lagging, [](const auto& line) { std::cerr << "  " << line << '\n'; });
     return exit_not_in_force;
 }
 
--- a/src/camphorstack/cli/fetch_fleet.cpp
+++ b/src/camphorstack/cli/fetch_fleet.cpp
@@ -20,7 +20,7 @@
 }  // namespace
 
 std::vector<fleet_host> fetch_fleet(const std::string& address) {
-    const auto first_answer = http_get(address, "/v1/status");
+    const auto first_answer = http_get(address, "/v1/status", host_timeout_s);
     const auto first = first_answer.status == status_ok ? parse_host_status(first_answer.body) : std::nullopt;
     if (!first) {
         throw io_error("host " + address + ": " + fault_of(first_answer));
--- a/src/camphorstack/cli/fleet_status.cpp
+++ b/src/camphorstack/cli/fleet_status.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "camphorstack/hosts/evidence.hpp"
+
 namespace camphorstack {
 
 namespace {
@@ -111,7 +113,7 @@
     return merged;
 }
 
-std::vector<std::string> lagging_hosts(const std::vector<fleet_host>& hosts, document_version version) {
+std::vector<std::string> lagging_hosts(const std::vector<fleet_host>& hosts, document_version version, millis waited) {
     std::vector<std::string> lagging;
     for (const auto& host : hosts) {
         const auto& id = host.listed.subject.id;
@@ -120,11 +122,21 @@
         }
         if (host.status) {
             lagging.push_back(id + " (version " + std::to_string(host.status->version) + ")");
-        } else if (host.listed.state != "dead") {
+        } else if (host.listed.state != "dead" || waited <= evidence_lifetime) {
             lagging.push_back(id + " (" + host.fault + ")");
         }
     }
     return lagging;
 }
 
+std::vector<host_id> dead_hosts(const std::vector<fleet_host>& hosts) {
+    std::vector<host_id> dead;
+    for (const auto& host : hosts) {
+        if (!host.status && host.listed.state == "dead") {
+            dead.push_back(host.listed.subject.id);
+        }
+    }
+    return dead;
+}
+
 }  // namespace camphorstack
--- a/src/camphorstack/cli/fleet_status.hpp
+++ b/src/camphorstack/cli/fleet_status.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "camphorstack/cli/host_status.hpp"
+#include "camphorstack/support/clock.hpp"
 
 namespace camphorstack {
 
@@ -44,9 +45,14 @@
 /// One JSON object for programs.
 [[nodiscard]] std::string format_status_json(const fleet_status& status);
 
-/// Hosts that do not have the version in force, each with the reason. Hosts listed as dead are left out: they have no evidence
-/// and serve no callers.
-[[nodiscard]] std::vector<std::string> lagging_hosts(const std::vector<fleet_host>& hosts, document_version version);
+/// Hosts that may serve callers without the version in force, each with the reason. A host that is listed as dead and does not
+/// answer counts until `waited`, the time since the version was accepted, exceeds the lifetime of evidence: from then on
+/// it has no evidence of an older version either and serves no callers.
+[[nodiscard]] std::vector<std::string> lagging_hosts(const std::vector<fleet_host>& hosts, document_version version,
+                                                     millis waited);
+
+/// Ids of the hosts that are listed as dead and do not answer.
+[[nodiscard]] std::vector<host_id> dead_hosts(const std::vector<fleet_host>& hosts);
 
 /// Asks the host at `address` and then all that it names, by HTTP. Throws io_error if the first one does not answer.
 [[nodiscard]] std::vector<fleet_host> fetch_fleet(const std::string& address);
--- a/src/camphorstack/cli/http_client.cpp
+++ b/src/camphorstack/cli/http_client.cpp
@@ -20,9 +20,10 @@
 };
 using bytes_handle = std::unique_ptr<GBytes, g_bytes_deleter>;
 
-http_answer call(const char* method, const std::string& address, const std::string& path, const std::string& body) {
+http_answer call(const char* method, const std::string& address, const std::string& path, const std::string& body,
+                 unsigned timeout_s) {
     // A session of its own per call: libsoup binds a session to the thread that made it.
-    const auto session = g_adopt(soup_session_new_with_options("timeout", http_timeout_s, nullptr));
+    const auto session = g_adopt(soup_session_new_with_options("timeout", timeout_s, nullptr));
     soup_session_set_proxy_resolver(session.get(), nullptr);
     const std::string url = "http://" + address + path;
     SoupMessage* created = soup_message_new(method, url.c_str());
@@ -47,12 +48,12 @@
 
 }  // namespace
 
-http_answer http_get(const std::string& address, const std::string& path) {
-    return call("GET", address, path, "");
+http_answer http_get(const std::string& address, const std::string& path, unsigned timeout_s) {
+    return call("GET", address, path, "", timeout_s);
 }
 
-http_answer http_put(const std::string& address, const std::string& path, const std::string& body) {
-    return call("PUT", address, path, body);
+http_answer http_put(const std::string& address, const std::string& path, const std::string& body, unsigned timeout_s) {
+    return call("PUT", address, path, body, timeout_s);
 }
 
 std::vector<http_answer> http_get_all(const std::vector<std::string>& addresses, const std::string& path) {
@@ -60,7 +61,7 @@
     std::atomic<std::size_t> next{0};
     const auto work = [&] {
         for (auto i = next.fetch_add(1); i < addresses.size(); i = next.fetch_add(1)) {
-            answers[i] = http_get(addresses[i], path);
+            answers[i] = http_get(addresses[i], path, host_timeout_s);
         }
     };
     std::vector<std::jthread> threads;
--- a/src/camphorstack/cli/platform_client.cpp
+++ b/src/camphorstack/cli/platform_client.cpp
@@ -30,8 +30,9 @@
 platform_answer call_platform(const std::string& address, const platform_call& call) {
     const std::string path = "/objects/" + call.object;
     const bool is_write = call.operation == platform_operation::write;
-    const auto reply = is_write ? http_put(address, path + "?version=" + std::to_string(call.expected_version), call.value)
-                                : http_get(address, path);
+    const auto reply =
+        is_write ? http_put(address, path + "?version=" + std::to_string(call.expected_version), call.value, platform_timeout_s)
+                 : http_get(address, path, platform_timeout_s);
     platform_answer answer;
     answer.id = call.id;
     if (reply.status == status_not_found) {
--- a/tests/cli/fleet_status.tests.cpp
+++ b/tests/cli/fleet_status.tests.cpp
@@ -71,9 +71,11 @@
 }
 
 // Guards against reporting a version as in force while a live host lags or does not answer.
-TEST_CASE("hosts that lag are named, dead ones are not waited for", "[status][configuration-in-force]") {
-    CHECK(lagging_hosts(sample_fleet(), 7) == std::vector<std::string>{"b (version 6)", "d (no answer)"});
-    CHECK(lagging_hosts(sample_fleet(), 6) == std::vector<std::string>{"d (no answer)"});
+TEST_CASE("hosts that lag are named, dead ones only while they may have evidence", "[status][configuration-in-force]") {
+    CHECK(lagging_hosts(sample_fleet(), 7, millis{2001}) == std::vector<std::string>{"b (version 6)", "d (no answer)"});
+    CHECK(lagging_hosts(sample_fleet(), 6, millis{2001}) == std::vector<std::string>{"d (no answer)"});
+    CHECK(lagging_hosts(sample_fleet(), 6, millis{2000}) == std::vector<std::string>{"c (no answer)", "d (no answer)"});
+    CHECK(dead_hosts(sample_fleet()) == std::vector<host_id>{"c"});
 }
 
 TEST_CASE("a page that is not a status page is not read", "[status]") {
