--- a/tests/endpoints/group_faults.tests.cpp
+++ b/tests/endpoints/group_faults.tests.cpp
@@ -193,3 +193,22 @@
     options.silent = 0.002;
     check_seeds(options, 30, fault_alone);
 }
+
+TEST_CASE("replicas serve the reads of sessions that have just written", "[group][replica-share]") {
+    for (const std::int64_t lag : {5, 50}) {
+        bench_options options;
+        options.replication_lag = lag;
+        options.latency = 8;
+        group_bench bench(options);
+        const group_workload load(bench, 12);
+        bench.run(5_s);
+        std::map<endpoint_id, std::size_t> reads;
+        for (const auto& [id, replies] : bench.replies) {
+            reads[replies.front().reply.served_by] += bench.submitted.at(id).kind == request_kind::read ? 1 : 0;
+        }
+        const auto by_primary = reads["i" + std::to_string(bench.primary())];
+        const auto all = reads["i0"] + reads["i1"] + reads["i2"];
+        WARN("lag " << lag << " ms: " << all - by_primary << " of " << all << " reads by replicas");
+        CHECK(by_primary * 20 <= all);
+    }
+}
--- a/tests/endpoints/group_requests.tests.cpp
+++ b/tests/endpoints/group_requests.tests.cpp
@@ -252,3 +252,31 @@
     CHECK(bench.call(0, make(request_kind::write, "PUT a 1")).outcome == request_outcome::done);
     CHECK(bench.call(0, make(request_kind::read, "GET a")).outcome == request_outcome::done);
 }
+
+TEST_CASE("workspaces get their share while another sends ten times as much", "[group][fair-share]") {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        bench_options options;
+        options.seed = seed;
+        options.service_time = 10;
+        group_bench bench(options);
+        bench.run(500_ms);
+        for (int round = 0; round < 200; ++round) {
+            for (int sender = 0; sender < 17; ++sender) {  // "w0" sends ten, the seven others one each.
+                auto write = make(request_kind::write, "PUT k 1");
+                write.workspace = "w" + std::to_string(std::max(0, sender - 9));
+                write.time_left = 600_ms;
+                bench.submit(0, write);
+            }
+            bench.run(40_ms);
+        }
+        bench.run(1_s);
+        std::map<workspace_id, std::size_t> done;
+        for (const auto& [id, request] : bench.submitted) {
+            done[request.workspace] += bench.replies.at(id).front().reply.outcome == request_outcome::done ? 1 : 0;
+        }
+        for (const auto& [workspace, count] : done) {
+            INFO("seed " << seed << " workspace " << workspace << " done " << count);
+            CHECK((workspace == "w0" ? count < 2000 : count >= 198));
+        }
+    }
+}
