--- a/src/camphorstack/contracts/lending.cpp
+++ b/src/camphorstack/contracts/lending.cpp
@@ -59,14 +59,18 @@
     return parts;
 }
 
+bool is_active(const contract_share& share, instant now) {
+    return share.demand_per_s > 0 && now - share.last_attempt <= active_time;
+}
+
 /// Tokens and rate that the lender does not need itself.
 offer spare_of(const contract_share& share, instant now) {
     if (share.waiting > 0 && now - share.last_shortage <= shortage_memory) {
         return {};
     }
     const auto demand = expected_demand(share, now);
-    const bool active = share.demand_per_s > 0 && now - share.last_attempt <= active_time;
-    const auto kept = std::max<millitokens>(demand * kept_demand.count / milliseconds_per_second, active ? request_cost : 0);
+    const auto kept =
+        std::max<millitokens>(demand * kept_demand.count / milliseconds_per_second, is_active(share, now) ? request_cost : 0);
     const auto kept_rate = demand + demand / 4;
     return {{}, std::max<millitokens>(0, share.tokens - kept), std::max<millitokens>(0, share.accrual_rate - kept_rate)};
 }
@@ -129,8 +133,10 @@
     limit.rate_per_s = std::clamp<millitokens>(request.rate_per_s, 0, limit.rate_per_s);
     const auto parts = lendable_parts(share, now, longest);
     auto made = best_offer(parts, limit);
-    // Only whole requests' worth: fractions spread over many hosts admit nobody.
-    made.tokens -= made.tokens % request_cost;
+    if (is_active(share, now)) {
+        // Only whole requests' worth: fractions left at many active hosts admit nobody.
+        made.tokens -= made.tokens % request_cost;
+    }
     if (made.tokens == 0 && made.rate_per_s == 0) {
         return grant;
     }
--- a/src/camphorstack/hosts/membership_updates.cpp
+++ b/src/camphorstack/hosts/membership_updates.cpp
@@ -181,9 +181,12 @@
 
 probe_answer answer_probe(membership_state& state, const host_id& from, const probe& question, known_versions versions,
                           std::vector<evidence_entry> evidence, instant now) {
-    const bool newcomer = !state.others.contains(from) || !state.others.at(from).seen;
+    const auto before = state.others.find(from);
+    const auto known_before = before == state.others.end() ? member_update{} : before->second.newest;
     note_sign_of_life(state, from, now);
     apply_updates(state, question.updates, now);
+    // A host that has just joined or come back may know few others.
+    const bool newcomer = state.others.contains(from) && state.others.at(from).newest != known_before;
     probe_answer answer{question.sequence, versions.document, versions.members_epoch, {}, std::move(evidence)};
     answer.updates = choose_updates(state, from);
     const auto about_self =
--- a/tests/contracts/share_fleet.hpp
+++ b/tests/contracts/share_fleet.hpp
@@ -196,6 +196,9 @@
         const bool serving = this->is_recent(host);
         host.waiting.serve(*this, this->network.now(),
                            [&](const workspace_id& workspace) { return serving && try_spend(host.shares, workspace, local); });
+        for (const auto& item : this->content.workspaces) {
+            note_waiting(host.shares, item.id, host.waiting.count(item.id));
+        }
         if (this->loans) {
             for (const auto& due : due_loan_requests(host.shares, local, this->network.random)) {
                 this->network.send(id, due.lender, due.request);
