--- a/src/camphorstack/support/metrics.cpp
+++ b/src/camphorstack/support/metrics.cpp
@@ -59,8 +59,10 @@
     }
     below += series.buckets.at(axis.size());
     out << "camphorstack_request_seconds_bucket{" << labels << ",le=\"+Inf\"} " << below << '\n';
-    out << "camphorstack_request_seconds_sum{" << labels << "} " << static_cast<double>(series.sum_us) / microseconds_per_second
-        << '\n';
+    const double sum_s = static_cast<double>(series.sum_us) / microseconds_per_second;
+    // The default precision of 6 digits would hide single requests in a sum of hours.
+    out << "camphorstack_request_seconds_sum{" << labels << "} " << std::setprecision(sum_digits) << sum_s
+        << std::setprecision(bound_digits) << '\n';
     out << "camphorstack_request_seconds_count{" << labels << "} " << below << '\n';
 }
 
