--- a/src/camphorstack/links/caller_server.cpp
+++ b/src/camphorstack/links/caller_server.cpp
@@ -43,7 +43,8 @@
     std::uint64_t ticket = 0;  ///< Of a request that was handed to the sink.
     request_kind kind = request_kind::read;
     std::int64_t complete_at_us = 0;
-    instant overdue;  ///< When a request with a ticket is ended as unknown.
+    std::optional<instant> answered;  ///< When the answer was handed to libsoup.
+    instant overdue;                  ///< When a request with a ticket is ended as unknown.
 };
 
 void respond(SoupServerMessage* message, unsigned status, const char* type, const std::string& body, bool close) {
@@ -233,6 +234,9 @@
     } else if (!this->show_page(message, path)) {
         this->take_request(message, open, path);
     }
+    if (open.ticket == 0) {
+        open.answered = this->time.now();
+    }
 }
 
 bool caller_server::state::show_page(SoupServerMessage* message, std::string_view path) {
@@ -300,7 +304,8 @@
     }
     SoupServerMessage* message = found->second;
     this->tickets.erase(found);
-    const exchange& open = this->exchanges.at(message);
+    exchange& open = this->exchanges.at(message);
+    open.answered = this->time.now();
     if (this->pages.measured) {
         this->pages.measured(
             {reply.workspace, open.kind, reply.outcome, reply.reason, g_get_monotonic_time() - open.complete_at_us});
@@ -311,7 +316,7 @@
 
 bool caller_server::state::is_late(SoupServerMessage* message, exchange& open, instant now) const {
     if (open.complete) {
-        return false;
+        return open.answered && now - *open.answered >= this->limits.request_time;
     }
     if (!open.first_byte && has_request_begun(message)) {
         open.first_byte = now;
--- a/src/camphorstack/links/caller_server.hpp
+++ b/src/camphorstack/links/caller_server.hpp
@@ -20,7 +20,7 @@
 
 /// Bounds of the server for callers.
 struct caller_server_limits {
-    millis request_time{10000};         ///< From the first byte of a request to its last.
+    millis request_time{10000};         ///< From the first byte of a request to its last, and the same for its answer.
     millis idle_time{60000};            ///< Of a connection without a request.
     std::size_t connections = 16384;    ///< Open at the same time.
     std::size_t discarded = 4'000'000;  ///< Bytes of a too large body that are read before the connection is cut.
--- a/tests/links/caller_server.tests.cpp
+++ b/tests/links/caller_server.tests.cpp
@@ -189,6 +189,19 @@
     CHECK(idle.wait_for("200 OK"));
 }
 
+TEST_CASE("a caller that does not read its answer is cut off", "[caller-server]") {
+    // Guards against answers that stay in memory, and a stop that waits for them, for as long as such a caller likes.
+    caller_server_limits limits;
+    limits.request_time = millis{200};
+    test_server host(limits);
+    raw_client client(host.server.bound_address());
+    client.send(post("/v1/statement", "", good_body));
+    REQUIRE(run_until([&] { return host.requests.size() == 1; }));
+    host.server.answer({1, request_outcome::done, refusal::none, std::string(16'000'000, 'x'), "", "", "", ""});
+    CHECK_FALSE(run_until([&] { return host.server.open_requests() == 0; }, 50));
+    CHECK(run_until([&] { return host.server.open_requests() == 0; }));
+}
+
 TEST_CASE("a reply to a caller that has gone is dropped", "[caller-server]") {
     test_server host;
     host.ask(post("/v1/statement", "", good_body));
