--- a/src/camphorstack/endpoints/dispatch.cpp
+++ b/src/camphorstack/endpoints/dispatch.cpp
@@ -34,6 +34,10 @@
     if (primary == nullptr || primary->term < item.request.session.term || is_change_held(state, begins)) {
         return nullptr;
     }
+    // Without a majority the change could not be acknowledged; while it waits here it has certainly not run.
+    if (instances_up(state) < majority(state)) {
+        return nullptr;
+    }
     for (const auto& candidate : candidates) {
         if (candidate.instance != primary || !has_spare(candidate, needed, now)) {
             continue;
@@ -92,7 +96,7 @@
         const auto& load = candidate.load;
         const auto useful = std::min(found->second, statement_limit(*candidate.instance) - load.running);
         auto coming = load.opening + load.unproved;
-        for (auto open = load.connections; coming < useful && open < connection_limit(*candidate.instance); ++open, ++coming) {
+        for (auto open = load.statements; coming < useful && may_open(*candidate.instance, open, step.now); ++open, ++coming) {
             open_to(step, *candidate.instance, false);
         }
     }
