Count the load's gaps up to its end only and try the next daemon when one refuses the connection

The first chaos runs printed write gaps of 4.1 to 4.8 s and hanging begins after a SIGTERM or kill of a daemon. Two causes were in the load itself: the gap was counted until the last open request had ended, beyond the offered load; and a caller whose daemon refused the connection gave its open transaction up without a rollback, so that abandoned transactions held the instance's slots until their lifetime of 5 s while other begins waited.

--- a/src/camphorstack/cli/load.cpp
+++ b/src/camphorstack/cli/load.cpp
@@ -116,9 +116,8 @@
     } else {
         transport = std::make_unique<load_http>(plan);
     }
-    const monotonic_clock time;
     const auto measures = offer_load(plan, *transport);
-    std::cout << format_measures(measures, plan, time.now());
+    std::cout << format_measures(measures, plan);
     return measures.violations.empty() ? exit_ok : exit_violation;
 }
 
--- a/src/camphorstack/cli/load_http.cpp
+++ b/src/camphorstack/cli/load_http.cpp
@@ -14,17 +14,22 @@
 constexpr guint grace_s = 3;
 constexpr guint ms_per_s = 1000;
 
-struct open_request {
-    g_pointer<SoupMessage> message;
-    load_transport::callback done;
-};
-
 bool is_safe_to_repeat(const load_request& request) {
     return request.kind == request_kind::read || !request.idempotency_key.empty();
 }
 
-void on_finished(GObject* session, GAsyncResult* result, gpointer data) {
-    const std::unique_ptr<open_request> finished(static_cast<open_request*>(data));
+}  // namespace
+
+struct load_http::open_request {
+    load_http* owner = nullptr;
+    load_request request;
+    load_transport::callback done;
+    std::size_t refusals = 0;
+    g_pointer<SoupMessage> message;
+};
+
+void load_http::on_finished(GObject* session, GAsyncResult* result, gpointer data) {
+    std::unique_ptr<open_request> finished(static_cast<open_request*>(data));
     GError* raw_failure = nullptr;
     GBytes* bytes = soup_session_send_and_read_finish(SOUP_SESSION(session), result, &raw_failure);
     const g_error_pointer failure(raw_failure);
@@ -35,14 +40,17 @@
         answer = read_load_answer(std::string(text == nullptr ? "" : text, size));
         g_bytes_unref(bytes);
     } else if (g_error_matches(failure.get(), G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED)) {
-        // Nothing was sent: the balancer would try another host.
         answer.outcome = request_outcome::not_run;
+        const auto targets = finished->owner->plan.targets.size();
+        if (++finished->refusals < targets) {
+            finished->request.target = (finished->request.target + 1) % targets;
+            finished->owner->start(std::move(finished));
+            return;
+        }
     }
     finished->done(answer);
 }
 
-}  // namespace
-
 load_http::load_http(const load_plan& offered) : plan(offered) {
     const auto most = static_cast<int>(offered.sessions * offered.workspaces.size() * offered.targets.size());
     const auto limit = static_cast<guint>(offered.timeout.count) / ms_per_s + grace_s;
@@ -51,13 +59,20 @@
 }
 
 void load_http::send(const load_request& request, callback done) {
-    const auto url = "http://" + this->plan.targets[request.target] + load_path(request.kind);
     auto open = std::make_unique<open_request>();
-    open->message = g_adopt(soup_message_new("POST", url.c_str()));
+    open->owner = this;
+    open->request = request;
     open->done = std::move(done);
-    auto* headers = soup_message_get_request_headers(open->message.get());
+    this->start(std::move(open));
+}
+
+void load_http::start(std::unique_ptr<open_request> open) {
+    const auto& request = open->request;
+    const auto url = "http://" + this->plan.targets[request.target] + load_path(request.kind);
+    open->message = g_adopt(soup_message_new("POST", url.c_str()));
     if (!request.key.empty()) {
-        soup_message_headers_append(headers, "Authorization", ("Bearer " + request.key).c_str());
+        soup_message_headers_append(soup_message_get_request_headers(open->message.get()), "Authorization",
+                                    ("Bearer " + request.key).c_str());
     }
     const auto body = load_body(request, this->plan);
     GBytes* bytes = g_bytes_new(body.data(), body.size());
@@ -69,7 +84,8 @@
         soup_message_add_flags(open->message.get(), SOUP_MESSAGE_IDEMPOTENT);
     }
     auto* const data = open.release();
-    soup_session_send_and_read_async(this->session.get(), data->message.get(), G_PRIORITY_DEFAULT, nullptr, &on_finished, data);
+    soup_session_send_and_read_async(this->session.get(), data->message.get(), G_PRIORITY_DEFAULT, nullptr,
+                                     &load_http::on_finished, data);
 }
 
 std::string load_path(request_kind kind) {
--- a/src/camphorstack/cli/load_http.hpp
+++ b/src/camphorstack/cli/load_http.hpp
@@ -2,13 +2,16 @@
 
 #include <libsoup/soup.h>
 
+#include <memory>
+
 #include "camphorstack/cli/load_plan.hpp"
 #include "camphorstack/cli/load_request.hpp"
 #include "camphorstack/support/g_pointer.hpp"
 
 namespace camphorstack {
 
-/// Sends the load to daemons over HTTP through libsoup.
+/// Sends the load to daemons over HTTP through libsoup. Like the balancer in front of the daemons, it tries the next one when a
+/// daemon refuses the connection, since nothing was sent then.
 class load_http final : public load_transport {
 public:
     explicit load_http(const load_plan& offered);
@@ -16,6 +19,11 @@
     void send(const load_request& request, callback done) override;
 
 private:
+    struct open_request;
+
+    static void on_finished(GObject* session, GAsyncResult* result, gpointer data);
+    void start(std::unique_ptr<open_request> open);
+
     const load_plan& plan;
     g_pointer<SoupSession> session;
 };
--- a/src/camphorstack/cli/load_measures.cpp
+++ b/src/camphorstack/cli/load_measures.cpp
@@ -95,6 +95,7 @@
 load_measures start_measures(const load_plan& plan, instant now) {
     load_measures measures;
     measures.started = now;
+    measures.ends = now + plan.duration;
     for (const auto& workspace : plan.workspaces) {
         measures.workspaces[workspace.id];
     }
@@ -110,7 +111,8 @@
     ++measured.offered;
     if (answer.outcome != request_outcome::done) {
         ++(answer.outcome == request_outcome::not_run ? measured.refused : measured.unknown);
-        ++measured.reasons[answer.answered ? answer.reason : "no answer"];
+        ++measured.reasons[(answer.answered ? answer.reason : "no_answer") + " kind=" + to_string(request.kind) +
+                           " target=" + plan.targets[request.target]];
         return;
     }
     ++measured.done;
@@ -122,11 +124,12 @@
         // Until a write has shown which instance is the primary, a read counts as served by it.
         database.replica_reads += !database.primary.empty() && answer.served_by != database.primary ? 1U : 0U;
     } else if (is_acknowledged_write(request)) {
-        note_write(database, answer, now);
+        note_write(database, answer, std::min(now, measures.ends));
     }
 }
 
-void finish_measures(load_measures& measures, instant now) {
+void end_measures(load_measures& measures, instant now) {
+    measures.ends = now;
     for (auto& [id, database] : measures.databases) {
         database.longest_gap = std::max(database.longest_gap, now - database.last_write);
     }
@@ -137,10 +140,11 @@
     return entitled <= 0 ? 1 : std::min(1.0, static_cast<double>(measured.done) / entitled);
 }
 
-std::string format_measures(const load_measures& measures, const load_plan& plan, instant now) {
-    std::string text = absl::StrFormat("%.1f s of load\n%-20s %9s %9s %8s %8s %8s %8s %9s %9s %9s %9s %9s\n",
-                                       static_cast<double>((now - measures.started).count) / 1000, "workspace", "offered", "done",
-                                       "not run", "unknown", "slowed", "served", "p50 ms", "p90", "p99", "p99.9", "max");
+std::string format_measures(const load_measures& measures, const load_plan& plan) {
+    std::string text =
+        absl::StrFormat("%.1f s of load\n%-20s %9s %9s %8s %8s %8s %8s %9s %9s %9s %9s %9s\n",
+                        static_cast<double>((measures.ends - measures.started).count) / 1000, "workspace", "offered", "done",
+                        "not run", "unknown", "slowed", "served", "p50 ms", "p90", "p99", "p99.9", "max");
     std::string worst;
     double worst_share = 2;
     std::uint64_t within_rate = 0;
--- a/src/camphorstack/cli/load_measures.hpp
+++ b/src/camphorstack/cli/load_measures.hpp
@@ -23,10 +23,10 @@
 struct workspace_measures {
     std::uint64_t offered = 0;
     std::uint64_t done = 0;
-    std::uint64_t refused = 0;  ///< Outcome not run.
-    std::uint64_t unknown = 0;  ///< Outcome unknown, with or without an answer.
-    std::uint64_t slowed = 0;   ///< Done, but later than the plan's `slow`.
-    std::map<std::string, std::uint64_t> reasons;
+    std::uint64_t refused = 0;                               ///< Outcome not run.
+    std::uint64_t unknown = 0;                               ///< Outcome unknown, with or without an answer.
+    std::uint64_t slowed = 0;                                ///< Done, but later than the plan's `slow`.
+    std::map<std::string, std::uint64_t> reasons;            ///< Of requests not done, with their kind and target.
     latency_histogram latencies = make_latency_histogram();  ///< Of requests done, from the time when they were due.
 };
 
@@ -41,6 +41,7 @@
 /// What the callers of one run saw.
 struct load_measures {
     instant started;
+    instant ends;  ///< No requests are offered after this, so no gap is counted beyond it.
     std::map<workspace_id, workspace_measures> workspaces;
     std::map<database_id, database_measures> databases;
     std::vector<std::string> violations;
@@ -52,13 +53,13 @@
 void note_answer(load_measures& measures, const load_plan& plan, const workspace_id& workspace, const load_request& request,
                  const load_answer& answer, std::int64_t latency_us, instant now);
 
-/// Closes the gap since each database's last acknowledged write.
-void finish_measures(load_measures& measures, instant now);
+/// Takes over the end of the offered load and closes the gap since each database's last acknowledged write.
+void end_measures(load_measures& measures, instant now);
 
 /// Share of its entitlement that a workspace got: done against the lesser of offered and entitled, at most 1.
 [[nodiscard]] double served_share(const load_plan& plan, const load_workspace& workspace, const workspace_measures& measured);
 
 /// The percentiles of each workspace and the five measures, as text.
-[[nodiscard]] std::string format_measures(const load_measures& measures, const load_plan& plan, instant now);
+[[nodiscard]] std::string format_measures(const load_measures& measures, const load_plan& plan);
 
 }  // namespace camphorstack
--- a/src/camphorstack/cli/load_run.cpp
+++ b/src/camphorstack/cli/load_run.cpp
@@ -92,11 +92,14 @@
     }
     {
         const g_source_handle pacing(g_timeout_add(pacing_interval_ms, &runner::on_pace, this));
-        while (!this->is_over() || this->open > 0) {
+        while (!this->is_over()) {
             g_main_context_iteration(nullptr, TRUE);
         }
     }
-    finish_measures(this->measures, this->time.now());
+    end_measures(this->measures, this->time.now());
+    while (this->open > 0) {
+        g_main_context_iteration(nullptr, TRUE);
+    }
     for (auto& each : this->slots) {
         this->read_last(each, 0, last_read_tries);
     }
