--- a/tests/cli/fleet_status.tests.cpp
+++ b/tests/cli/fleet_status.tests.cpp
@@ -78,6 +78,15 @@
     CHECK(dead_hosts(sample_fleet()) == std::vector<host_id>{"c"});
 }
 
+// Guards against zeros in the table when hosts write the position flat, as links/report_json does.
+TEST_CASE("both forms of an endpoint's position are read", "[status]") {
+    const auto read = parse_host_status(R"({"id": "a", "databases": [{"id": "s", "endpoints": [
+        {"id": "s-1", "position_term": 4, "position_index": 99, "connections": 5}]}]})");
+    REQUIRE(read);
+    CHECK(read->databases[0].endpoints[0].position == log_position{4, 99});
+    CHECK(read->databases[0].endpoints[0].open_connections == 5);
+}
+
 TEST_CASE("a page that is not a status page is not read", "[status]") {
     CHECK_FALSE(parse_host_status(""));
     CHECK_FALSE(parse_host_status("[1]"));
