--- a/src/camphorstack/links/peer_link_counters.hpp
+++ b/src/camphorstack/links/peer_link_counters.hpp
@@ -18,7 +18,9 @@
     std::uint64_t timed_out = 0;
     std::uint64_t overflowed = 0;
     std::uint64_t turned_away = 0;  ///< Incoming connections above `unproved_links`.
-    std::uint64_t oversized = 0;    ///< Messages that were not sent because they are above the frame limit.
+    std::uint64_t messages_sent = 0;
+    std::uint64_t bytes_sent = 0;  ///< Of the messages' frames; without handshakes and TCP/IP headers.
+    std::uint64_t oversized = 0;   ///< Messages that were not sent because they are above the frame limit.
 
     friend bool operator==(const peer_link_counters&, const peer_link_counters&) = default;
 };
--- a/src/camphorstack/links/peer_links.cpp
+++ b/src/camphorstack/links/peer_links.cpp
@@ -60,6 +60,8 @@
 
     void listen();
     void send(const send_to_peer& action);
+    /// False if the link's output buffer is full.
+    bool send_on(link_entry& entry, const std::vector<std::uint8_t>& bytes);
     link_entry& open(const host_id& peer, const std::string& address);
     void connected(peer_link* link, g_pointer<GSocketConnection> connection);
     void accept(GSocketConnection* connection);
@@ -160,6 +162,15 @@
     return calls;
 }
 
+bool peer_links::state::send_on(link_entry& entry, const std::vector<std::uint8_t>& bytes) {
+    if (!entry.link->send(bytes)) {
+        return false;
+    }
+    ++this->counters.messages_sent;
+    this->counters.bytes_sent += bytes.size();
+    return true;
+}
+
 void peer_links::state::send(const send_to_peer& action) {
     std::vector<std::uint8_t> bytes;
     try {
@@ -178,7 +189,7 @@
     link_entry& entry = found == this->outgoing.end() ? this->open(action.peer, action.address) : found->second;
     if (entry.link->is_ready()) {
         entry.last_used = this->time.now();
-        if (!entry.link->send(bytes)) {
+        if (!this->send_on(entry, bytes)) {
             entry.link->end(link_end::overflow);
             this->emit(peer_not_sent{action.peer, action.message.body});
         }
@@ -265,7 +276,7 @@
     while (!entry.waiting.empty()) {
         const waiting_message next = std::move(entry.waiting.front());
         entry.waiting.pop_front();
-        if (!entry.link->send(next.bytes)) {
+        if (!this->send_on(entry, next.bytes)) {
             entry.waiting.push_front(next);
             entry.link->end(link_end::overflow);
             return;
--- a/src/camphorstack/links/socket_links.cpp
+++ b/src/camphorstack/links/socket_links.cpp
@@ -69,6 +69,12 @@
     line("timed_out", counts.timed_out);
     line("overflow", counts.overflowed);
     line("turned_away", counts.turned_away);
+    out << "# HELP camphorstack_peer_messages_sent_total Messages sent to peers.\n"
+        << "# TYPE camphorstack_peer_messages_sent_total counter\n"
+        << "camphorstack_peer_messages_sent_total " << counts.messages_sent << '\n'
+        << "# HELP camphorstack_peer_bytes_sent_total Bytes of the frames sent to peers.\n"
+        << "# TYPE camphorstack_peer_bytes_sent_total counter\n"
+        << "camphorstack_peer_bytes_sent_total " << counts.bytes_sent << '\n';
     return out.str();
 }
 
