Return unspent borrowed tokens and measure the limits

Cause: borrowed tokens that were not spent were lost to the fleet when the loan ended, and wrongful refusals were far above the target of 0.1%.

--- a/src/camphorstack/contracts/borrowing.cpp
+++ b/src/camphorstack/contracts/borrowing.cpp
@@ -126,6 +126,9 @@
         return;
     }
     auto& share = found->second;
+    if (credit_return(share, lender, grant, now)) {
+        return;
+    }
     const auto opened = share.open_loans.find(grant.sequence);
     if (opened == share.open_loans.end() || opened->second.lender != lender) {
         return;
@@ -143,7 +146,7 @@
     if (empty || grant.epoch != state.members.epoch || until <= now) {
         return;
     }
-    share.borrowed.push_back({grant.sequence, grant.tokens, grant.rate_per_s, until});
+    share.borrowed.push_back({grant.sequence, grant.tokens, grant.rate_per_s, until, lender, false});
     renew_bounds(share);
     share.tokens = std::min(share.tokens + grant.tokens, share.room);
 }
--- a/src/camphorstack/contracts/contract_share.hpp
+++ b/src/camphorstack/contracts/contract_share.hpp
@@ -20,6 +20,8 @@
     millitokens burst = 0;
     millitokens rate_per_s = 0;
     instant until;
+    host_id lender;
+    bool returned = false;  ///< Unspent tokens went back; that happens once.
 
     friend bool operator==(const borrowed_part&, const borrowed_part&) = default;
 };
@@ -30,6 +32,8 @@
     millitokens burst = 0;
     millitokens rate_per_s = 0;
     instant until;
+    host_id borrower;
+    std::uint64_t sequence = 0;  ///< Of the borrower's request; 0 once unspent tokens came back.
 
     friend bool operator==(const lent_part&, const lent_part&) = default;
 };
@@ -101,6 +105,9 @@
 /// Accrues tokens up to `now`, ending loans and changeovers at their own instants on the way.
 void accrue(contract_share& share, instant now);
 
+/// Takes back what a borrower returned of its loan. False if the grant is no return.
+bool credit_return(contract_share& share, const host_id& borrower, const loan_grant& grant, instant now);
+
 /// Adds a request to the demand estimate.
 void note_demand(contract_share& share, instant now);
 
--- a/src/camphorstack/contracts/lending.cpp
+++ b/src/camphorstack/contracts/lending.cpp
@@ -98,7 +98,8 @@
     return best;
 }
 
-void debit(contract_share& share, const std::vector<lendable_part>& parts, const offer& made, instant now) {
+void debit(contract_share& share, const std::vector<lendable_part>& parts, const offer& made, const host_id& borrower,
+           std::uint64_t sequence, instant now) {
     share.tokens -= made.tokens;
     auto burst = made.tokens;
     auto rate = made.rate_per_s;
@@ -106,8 +107,12 @@
         if (part.longest < made.duration) {
             continue;
         }
-        const lent_part taken{part.source, std::min(burst, part.burst), std::min(rate, part.rate_per_s),
-                              now + made.duration + clock_margin(made.duration)};
+        const lent_part taken{part.source,
+                              std::min(burst, part.burst),
+                              std::min(rate, part.rate_per_s),
+                              now + made.duration + clock_margin(made.duration),
+                              borrower,
+                              sequence};
         burst -= taken.burst;
         rate -= taken.rate_per_s;
         if (taken.burst > 0 || taken.rate_per_s > 0) {
@@ -140,7 +145,7 @@
     if (made.tokens == 0 && made.rate_per_s == 0) {
         return grant;
     }
-    debit(share, parts, made, now);
+    debit(share, parts, made, borrower, request.sequence, now);
     grant.tokens = made.tokens;
     grant.rate_per_s = made.rate_per_s;
     grant.duration = made.duration;
--- /dev/null
+++ b/src/camphorstack/contracts/returning.cpp
@@ -0,0 +1,70 @@
+#include <algorithm>
+
+#include "camphorstack/contracts/shares.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+/// Before its end a loan's unspent tokens are returned, long enough for the message to arrive in time.
+constexpr millis return_before_end{30};
+
+/// Tokens lent on from this part can come back no later than its end, and then belong to it again.
+millitokens lent_from(const contract_share& share, std::uint64_t sequence) {
+    millitokens sum = 0;
+    for (const auto& part : share.lent) {
+        sum += part.source == sequence ? part.burst : 0;
+    }
+    return sum;
+}
+
+}  // namespace
+
+std::vector<addressed_loan_grant> due_returns(share_state& state, instant now) {
+    std::vector<addressed_loan_grant> returns;
+    for (auto& [id, share] : state.contracts) {
+        accrue(share, now);
+        bool changed = false;
+        for (auto& part : share.borrowed) {
+            if (part.returned || part.until - now > return_before_end) {
+                continue;
+            }
+            part.returned = true;
+            // What fits into the rest of the room stays.
+            const auto free = std::max<millitokens>(0, part.burst - lent_from(share, part.sequence));
+            const auto unspent = std::clamp<millitokens>(share.tokens - (share.room - free), 0, free);
+            if (unspent > 0) {
+                part.burst -= unspent;
+                share.tokens -= unspent;
+                share.room -= unspent;
+                changed = true;
+                returns.push_back({part.lender, {part.sequence, id, state.members.epoch, unspent, 0, millis{0}}});
+            }
+        }
+        if (changed) {
+            renew_bounds(share);
+        }
+    }
+    return returns;
+}
+
+bool credit_return(contract_share& share, const host_id& borrower, const loan_grant& grant, instant now) {
+    if (grant.duration > millis{0} || grant.tokens <= 0) {
+        return false;
+    }
+    accrue(share, now);
+    auto left = grant.tokens;
+    for (auto& part : share.lent) {
+        if (part.sequence == grant.sequence && part.borrower == borrower) {
+            const auto taken = std::min(left, part.burst);
+            part.sequence = 0;  // A duplicated return finds nothing.
+            part.burst -= taken;
+            left -= taken;
+        }
+    }
+    renew_bounds(share);
+    share.tokens = std::min(share.tokens + grant.tokens - left, share.room);
+    return true;
+}
+
+}  // namespace camphorstack
--- a/src/camphorstack/contracts/shares.hpp
+++ b/src/camphorstack/contracts/shares.hpp
@@ -15,7 +15,7 @@
 namespace camphorstack {
 
 struct share_settings {
-    millis loan_duration{500};    ///< Of a loan of rate; at most 1000 ms, so that it ends within `changeover`.
+    millis loan_duration{1000};   ///< Of a loan of rate; at most 1000 ms, so that it ends within `changeover`.
     millis changeover{4000};      ///< After a new epoch, the smaller of old and new share counts for this long.
     std::size_t max_holders = 8;  ///< Holders of one workspace in a fleet of more than `all_hold_up_to` hosts.
     std::size_t all_hold_up_to = 16;
@@ -64,7 +64,19 @@
 /// Debits this host's share and returns the grant, which may be of zero.
 loan_grant grant_loan(share_state& state, const host_id& borrower, const loan_request& request, instant now);
 
-/// Credits a grant. A grant that answers no open request, of another epoch or after its end is ignored.
+/// A grant and the host that it goes to.
+struct addressed_loan_grant {
+    host_id receiver;
+    loan_grant grant;
+
+    friend bool operator==(const addressed_loan_grant&, const addressed_loan_grant&) = default;
+};
+
+/// Unspent borrowed tokens that go back to their lenders shortly before their loan ends, as grants with duration 0 and the
+/// loan's sequence. Without them the tokens are lost to the fleet. They are debited here and credited by `receive_loan`.
+std::vector<addressed_loan_grant> due_returns(share_state& state, instant now);
+
+/// Credits a grant or a return. A grant that answers no open request, of another epoch or after its end is ignored.
 void receive_loan(share_state& state, const host_id& lender, const loan_grant& grant, instant now);
 
 }  // namespace camphorstack
--- a/tests/contracts/share_fleet.hpp
+++ b/tests/contracts/share_fleet.hpp
@@ -200,6 +200,9 @@
             note_waiting(host.shares, item.id, host.waiting.count(item.id));
         }
         if (this->loans) {
+            for (const auto& due : due_returns(host.shares, local)) {
+                this->network.send(id, due.receiver, due.grant);
+            }
             for (const auto& due : due_loan_requests(host.shares, local, this->network.random)) {
                 this->network.send(id, due.lender, due.request);
             }
