--- a/src/camphorstack/cli/load_http.cpp
+++ b/src/camphorstack/cli/load_http.cpp
@@ -44,7 +44,8 @@
         const auto targets = finished->owner->plan.targets.size();
         if (++finished->refusals < targets) {
             finished->request.target = (finished->request.target + 1) % targets;
-            finished->owner->start(std::move(finished));
+            auto* const owner = finished->owner;
+            owner->start(std::move(finished));
             return;
         }
     }
