Borrow for all waiting requests, return unspent loans, and write member lists 3 s apart

Cause: the host did not tell the shares how many requests wait nor send unspent tokens back, and a fleet that starts wrote a first list of one host, then the whole list 2.5 s later; each list halves or empties shares for 4 s. Ruled out: the lending itself; the refusals all fell into the 4 s after the second list. Change: waiting counts and returns are sent, a grant is used at once, lists are 3 s apart and the first one waits 1 s. Owner candidates are compared only after a change of the membership, not at each tick.

--- a/src/camphorstack/hosts/entry.cpp
+++ b/src/camphorstack/hosts/entry.cpp
@@ -162,8 +162,30 @@
     turn_to_standby(state, pending, now, actions);
 }
 
+/// Tells the shares how much is wanted, so that enough is borrowed for all requests that wait.
+void note_waiting_requests(host_state& state) {
+    std::map<workspace_id, std::size_t> waiting;
+    for (const auto& pending : state.pending | std::views::values) {
+        if (pending.stage == pending_stage::waiting_for_share) {
+            ++waiting[pending.workspace];
+        }
+    }
+    for (const auto& [workspace, count] : waiting) {
+        note_waiting(state.shares, workspace, count);
+    }
+}
+
 }  // namespace
 
+void send_loan_messages(host_state& state, instant now, host_actions& actions) {
+    for (auto& loan : due_loan_requests(state.shares, now, state.random)) {
+        send_peer(state, loan.lender, std::move(loan.request), actions);
+    }
+    for (auto& returned : due_returns(state.shares, now)) {
+        send_peer(state, returned.receiver, std::move(returned.grant), actions);
+    }
+}
+
 void receive_caller_request(host_state& state, const caller_request& request, instant now, host_actions& actions) {
     if (serving_state(state, now) != recency::recent) {
         actions.emplace_back(
@@ -183,6 +205,9 @@
     const auto entry = state.pending.emplace(id, std::move(pending)).first;
     if (spend(state, entry->second, now)) {
         send_first(state, entry, now, actions);
+    } else {
+        note_waiting_requests(state);
+        send_loan_messages(state, now, actions);
     }
 }
 
@@ -244,6 +269,7 @@
         const auto current = entry++;
         tick_pending(state, current, now, actions);
     }
+    note_waiting_requests(state);
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/hosts/entry.hpp
+++ b/src/camphorstack/hosts/entry.hpp
@@ -9,6 +9,9 @@
 /// Checks a caller's request (key, route, tokens, rate) and hands it to the owner of its database.
 void receive_caller_request(host_state& state, const caller_request& request, instant now, host_actions& actions);
 
+/// Sends the loan requests and returned tokens that are due.
+void send_loan_messages(host_state& state, instant now, host_actions& actions);
+
 /// Takes an owner's reply; one that answers no open request is dropped.
 void receive_reply(host_state& state, const host_id& from, const database_reply& reply, instant now, host_actions& actions);
 
--- a/src/camphorstack/hosts/groups.cpp
+++ b/src/camphorstack/hosts/groups.cpp
@@ -109,6 +109,12 @@
     carry_out(state, slot, wanted, now, actions);
 }
 
+void update_duties(host_state& state, instant now, host_actions& actions) {
+    for (auto& slot : state.groups | std::views::values) {
+        update_duty(state, slot, now, actions);
+    }
+}
+
 /// A group that left the document keeps its endpoints until nothing is in flight, but takes no new work.
 void retire_missing_groups(host_state& state, instant now, host_actions& actions) {
     for (auto& [id, slot] : state.groups) {
@@ -165,16 +171,20 @@
         state.last_configured = content->version;
         state.configured_at = now;
     }
+    const bool new_document = update_ownership_document(state, now);
+    if (!new_document && !state.members_changed) {
+        update_duties(state, now, actions);
+        return;
+    }
+    state.members_changed = false;
     auto candidates = owner_candidates(state.membership);
-    if (update_ownership_document(state, now) || candidates != state.last_candidates) {
+    if (new_document || candidates != state.last_candidates) {
         for (const auto& group : content->databases) {
             choose_hosts(state, group, candidates, now, actions);
         }
         state.last_candidates = std::move(candidates);
     }
-    for (auto& slot : state.groups | std::views::values) {
-        update_duty(state, slot, now, actions);
-    }
+    update_duties(state, now, actions);
 }
 
 void tick_groups(host_state& state, instant now, host_actions& actions) {
--- a/src/camphorstack/hosts/host.cpp
+++ b/src/camphorstack/hosts/host.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t recent_records = 256;
+constexpr millis first_members_check{1000};
 
 void send_all(const host_state& state, addressed_messages messages, host_actions& actions) {
     for (auto& message : messages) {
@@ -22,6 +23,7 @@
 
 void record_membership(host_state& state, host_actions& actions) {
     for (auto& record : take_records(state.membership)) {
+        state.members_changed = true;
         record_decision(state, std::move(record), actions);
     }
 }
@@ -86,7 +88,11 @@
     void operator()(const loan_request& request) const {
         send_peer(this->state, this->from, grant_loan(this->state.shares, this->from, request, this->now), this->actions);
     }
-    void operator()(const loan_grant& grant) const { receive_loan(this->state.shares, this->from, grant, this->now); }
+    void operator()(const loan_grant& grant) const {
+        receive_loan(this->state.shares, this->from, grant, this->now);
+        // Requests wait for a loan only for some milliseconds, so they are tried at once.
+        entry_tick(this->state, this->now, this->actions);
+    }
 };
 
 void tick_host(host_state& state, instant now, host_actions& actions) {
@@ -99,10 +105,8 @@
     }
     platform_tick(state, now, actions);
     send_all(state, membership_tick(state.membership, versions_of(state), now, state.random), actions);
-    for (auto& loan : due_loan_requests(state.shares, now, state.random)) {
-        send_peer(state, loan.lender, std::move(loan.request), actions);
-    }
     entry_tick(state, now, actions);
+    send_loan_messages(state, now, actions);
     refresh_groups(state, now, actions);
     tick_groups(state, now, actions);
 }
@@ -112,6 +116,7 @@
         state.stopping = true;
         state.stop_requested_at = now;
         announce_leaving(state.membership, now);
+        state.members_changed = true;
     }
 }
 
@@ -200,7 +205,10 @@
     host->membership.next_probe = now;
     host->shares.self = settings.self.id;
     host->shares.settings = settings.shares;
+    host->shares.next_sequence = host->random() >> 1U;
     add_members(host->membership, settings.seeds, now);
+    // A fleet that starts together should find itself before the first list, as each list costs a change of shares.
+    host->platform.next_members_check = now + first_members_check;
     host->settings = std::move(settings);
     return host;
 }
--- a/src/camphorstack/hosts/host_state.hpp
+++ b/src/camphorstack/hosts/host_state.hpp
@@ -59,8 +59,10 @@
     std::vector<database_reply> local_replies;
     std::map<workspace_id, workspace_counts> counts;
     platform_tasks platform;
-    std::vector<decision_record> recent;   ///< Newest last.
-    std::vector<member> last_candidates;   ///< Owner candidates on which the groups' hosts rest.
+    std::vector<decision_record> recent;  ///< Newest last.
+    std::vector<member> last_candidates;  ///< Owner candidates on which the groups' hosts rest.
+    bool members_changed =
+        true;  ///< Since the owner candidates were computed; comparing all members at each tick costs too much.
     document_version last_configured = 0;  ///< Document version on which the groups' configuration rests.
     instant configured_at;                 ///< When it was taken over.
     std::shared_ptr<const document> ownership_document =
--- a/src/camphorstack/hosts/platform_tasks.cpp
+++ b/src/camphorstack/hosts/platform_tasks.cpp
@@ -15,7 +15,9 @@
 
 constexpr const char* document_object = "document";
 constexpr const char* members_object = "members";
-constexpr millis members_check_interval{1000};
+// A host that misses an epoch has no share for a while. One that stays within the recency bound of 2 s sees every epoch if they
+// are at least this far apart.
+constexpr millis members_check_interval{3000};
 constexpr millis host_list_interval{5000};
 constexpr millis term_retry{400};
 
--- a/tests/fleet/observer.cpp
+++ b/tests/fleet/observer.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "camphorstack/document/sections.hpp"
+
 namespace camphorstack::fleet_tests {
 
 observer::observer(fleet& watched, load_options wanted, std::uint64_t seed) : subject(watched), options(wanted), random(seed) {
@@ -167,9 +169,14 @@
                 return false;
             }
         }
+        if (!subject.platform().objects.contains("members")) {
+            return false;
+        }
         for (const auto& id : subject.live_hosts()) {
             const auto seen = subject.report_of(id);
-            if (seen.serving != recency::recent || seen.members_epoch == 0) {
+            const auto& list = subject.platform().objects.at("members");
+            const bool all_listed = parse_members(list.value).size() == subject.live_hosts().size();
+            if (seen.serving != recency::recent || !all_listed || seen.members_epoch != list.version) {
                 return false;
             }
         }
