--- a/src/camphorstack/links/frame_socket.cpp
+++ b/src/camphorstack/links/frame_socket.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t prefix_bytes = 4;
 constexpr std::size_t read_chunk_bytes = 65536;
 /// Written bytes are dropped from the front of the buffer in steps of this size, so that moving the rest stays cheap.
-constexpr std::size_t compaction_bytes = 1024 * 1024;
+constexpr std::size_t compaction_bytes = std::size_t{1024} * 1024;
 /// Chunks read from one socket before the others have their turn.
 constexpr int chunks_per_turn = 8;
 /// The kernel breaks a connection whose data has not been acknowledged for this long, in milliseconds. A connection that a
--- a/src/camphorstack/links/frame_socket.hpp
+++ b/src/camphorstack/links/frame_socket.hpp
@@ -27,7 +27,7 @@
     };
 
     /// Bytes that may wait for the other side to read them.
-    static constexpr std::size_t output_limit = 8 * 1024 * 1024;
+    static constexpr std::size_t output_limit = std::size_t{8} * 1024 * 1024;
 
     /// Starts reading. The object must not be destroyed from inside a callback; `close` is safe there.
     /// Throws io_error if the socket cannot be watched.
