--- a/src/camphorstack/hosts/entry.cpp
+++ b/src/camphorstack/hosts/entry.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <ranges>
 
 #include "camphorstack/hosts/admission.hpp"
 #include "camphorstack/hosts/groups.hpp"
@@ -165,7 +164,7 @@
 /// Tells the shares how much is wanted, so that enough is borrowed for all requests that wait.
 void note_waiting_requests(host_state& state) {
     std::map<workspace_id, std::size_t> waiting;
-    for (const auto& pending : state.pending | std::views::values) {
+    for (const auto& [id, pending] : state.pending) {
         if (pending.stage == pending_stage::waiting_for_share) {
             ++waiting[pending.workspace];
         }
--- a/src/camphorstack/hosts/groups.cpp
+++ b/src/camphorstack/hosts/groups.cpp
@@ -1,7 +1,6 @@
 #include "camphorstack/hosts/groups.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 #include "camphorstack/hosts/host_state.hpp"
 
@@ -110,7 +109,7 @@
 }
 
 void update_duties(host_state& state, instant now, host_actions& actions) {
-    for (auto& slot : state.groups | std::views::values) {
+    for (auto& [id, slot] : state.groups) {
         update_duty(state, slot, now, actions);
     }
 }
@@ -188,7 +187,7 @@
 }
 
 void tick_groups(host_state& state, instant now, host_actions& actions) {
-    for (auto& slot : state.groups | std::views::values) {
+    for (auto& [id, slot] : state.groups) {
         with_slot(state, &slot, now, actions,
                   [&](group_slot& each, group_actions& wanted) { group_tick(each.group, now, wanted); });
     }
@@ -232,7 +231,7 @@
 
 std::size_t requests_in_groups(const host_state& state) {
     std::size_t total = 0;
-    for (const auto& slot : state.groups | std::views::values) {
+    for (const auto& [id, slot] : state.groups) {
         total += group_in_flight(slot.group);
     }
     return total;
--- a/src/camphorstack/hosts/host_report.cpp
+++ b/src/camphorstack/hosts/host_report.cpp
@@ -1,7 +1,5 @@
 #include "camphorstack/hosts/host_report.hpp"
 
-#include <ranges>
-
 #include "camphorstack/hosts/host_state.hpp"
 
 namespace camphorstack {
@@ -11,7 +9,7 @@
 std::vector<member_report> report_members(const host_state& state) {
     const auto own_state = state.stopping ? member_state::leaving : member_state::alive;
     std::vector<member_report> result{{state.settings.self, own_state}};
-    for (const auto& view : state.membership.others | std::views::values) {
+    for (const auto& [id, view] : state.membership.others) {
         result.push_back({view.newest.subject, view.newest.state});
     }
     return result;
--- a/src/camphorstack/hosts/platform_tasks.cpp
+++ b/src/camphorstack/hosts/platform_tasks.cpp
@@ -1,7 +1,6 @@
 #include "camphorstack/hosts/platform_tasks.hpp"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 #include "camphorstack/document/sections.hpp"
@@ -29,8 +28,7 @@
 }
 
 bool is_open(const host_state& state, platform_purpose purpose) {
-    return std::ranges::any_of(state.platform.open | std::views::values,
-                               [&](const open_platform_call& call) { return call.purpose == purpose; });
+    return std::ranges::any_of(state.platform.open, [&](const auto& entry) { return entry.second.purpose == purpose; });
 }
 
 bool is_watcher(const host_state& state) {
