Take a host's own description over that of settings and the platform's list

Cause: a host known from the settings' seeds kept the data centre given there, since an update of the same incarnation and state did not replace it. The data centre weighs in the choice of owners, so hosts with different seeds chose different owners for good. With two owners, one switched a primary over while the other had open transactions, which were lost. Found by: transactions with pauses while a data centre leaves. Ruled out: the switchover, which waits for its own transactions; the delay of owner moves, as both owners were there before the change. Change: the first update that comes from the fleet replaces a description that no host has confirmed. Conclusion: views that differ for good are as harmful as a partition; owners must rest on facts that hosts tell of themselves.

--- a/src/camphorstack/hosts/admission.cpp
+++ b/src/camphorstack/hosts/admission.cpp
@@ -86,7 +86,7 @@
 }
 
 std::variant<pending_request, refused_request> admit(const host_state& state, const caller_request& request, instant now) {
-    const auto& content = *state.known.content;
+    const auto& content = *state.known.held.content;
     const auto* path = find_route(content, request.route);
     if (path == nullptr) {
         return refused_request{refusal::not_routed, "unknown route", ""};
--- a/src/camphorstack/hosts/groups.cpp
+++ b/src/camphorstack/hosts/groups.cpp
@@ -93,7 +93,7 @@
 void configure(host_state& state, const database& group, instant now, host_actions& actions) {
     auto& slot = slot_for(state, group.id);
     group_actions wanted;
-    group_configure(slot.group, group, usable_endpoints(*state.known.content, group), now, wanted);
+    group_configure(slot.group, group, usable_endpoints(*state.known.held.content, group), now, wanted);
     carry_out(state, slot, wanted, now, actions);
 }
 
@@ -117,7 +117,7 @@
 /// A group that left the document keeps its endpoints until nothing is in flight, but takes no new work.
 void retire_missing_groups(host_state& state, instant now, host_actions& actions) {
     for (auto& [id, slot] : state.groups) {
-        if (find_database(*state.known.content, id) == nullptr) {
+        if (find_database(*state.known.held.content, id) == nullptr) {
             group_actions wanted;
             group_configure(slot.group, database{id, "", {}}, {}, now, wanted);
             carry_out(state, slot, wanted, now, actions);
@@ -129,7 +129,7 @@
 /// True if the document on which ownership rests has changed. A change of states moves owners only after the present owners had
 /// the time to move the primaries: an owner that promotes while another one's writes are in flight would leave these unknown.
 bool update_ownership_document(host_state& state, instant now) {
-    const auto& current = state.known.content;
+    const auto& current = state.known.held.content;
     const bool first = state.ownership_document->version == 0;
     const bool due = now - state.configured_at >= owner_move_delay;
     if (current->version == state.ownership_document->version || !(first || due)) {
@@ -161,7 +161,7 @@
 }  // namespace
 
 void refresh_groups(host_state& state, instant now, host_actions& actions) {
-    const auto content = state.known.content;
+    const auto content = state.known.held.content;
     if (content->version != state.last_configured) {
         for (const auto& group : content->databases) {
             configure(state, group, now, actions);
--- a/src/camphorstack/hosts/host.cpp
+++ b/src/camphorstack/hosts/host.cpp
@@ -59,9 +59,9 @@
     }
     void operator()(const relay_answer& answer) const { receive_relay_answer(this->state.membership, answer, this->now); }
     void operator()(const document_request& /*request*/) const {
-        if (this->state.known.content->version > 0) {
-            send_peer(this->state, this->from, document_reply{this->state.known.content->version, this->state.known.text},
-                      this->actions);
+        if (this->state.known.held.content->version > 0) {
+            send_peer(this->state, this->from,
+                      document_reply{this->state.known.held.content->version, this->state.known.held.text}, this->actions);
         }
     }
     void operator()(const document_reply& reply) const {
@@ -239,11 +239,11 @@
 }
 
 known_versions versions_of(const host_state& state) {
-    return {state.known.content->version, state.members.epoch};
+    return {state.known.held.content->version, state.members.epoch};
 }
 
 recency serving_state(const host_state& state, instant now) {
-    const auto result = check_recency(state.evidence, state.watchers, state.known.content->version, now);
+    const auto result = check_recency(state.evidence, state.watchers, state.known.held.content->version, now);
     if (result == recency::recent && !is_epoch_recent(state, now)) {
         return recency::behind;
     }
--- a/src/camphorstack/hosts/host_report.hpp
+++ b/src/camphorstack/hosts/host_report.hpp
@@ -42,6 +42,7 @@
 
 /// One host's view, for the status and explain commands.
 struct host_report {
+    instant reported_at;
     host_id id;
     data_centre_id location;
     document_version version = 0;  ///< In force at this host.
--- a/src/camphorstack/hosts/host_state.hpp
+++ b/src/camphorstack/hosts/host_state.hpp
@@ -9,6 +9,7 @@
 
 #include "camphorstack/contracts/shares.hpp"
 #include "camphorstack/document/document.hpp"
+#include "camphorstack/document/document_store.hpp"
 #include "camphorstack/endpoints/group.hpp"
 #include "camphorstack/hosts/evidence.hpp"
 #include "camphorstack/hosts/host_events.hpp"
@@ -23,9 +24,8 @@
 
 /// The document in force at this host.
 struct known_document {
-    std::string text;  ///< The platform object's JSON value, as it is handed to peers.
-    std::shared_ptr<const document> content = std::make_shared<const document>();
-    std::map<std::string, workspace_id> workspace_by_key;  ///< By the key's SHA-256.
+    document_store held{std::make_shared<const document>(), "", 0, 0, ""};  ///< Its content is never null: version 0 is empty.
+    std::map<std::string, workspace_id> workspace_by_key;                   ///< By the key's SHA-256.
 };
 
 /// A database group at this host and the hosts that run it by this host's view.
--- a/src/camphorstack/hosts/membership_updates.cpp
+++ b/src/camphorstack/hosts/membership_updates.cpp
@@ -15,6 +15,10 @@
     return std::tie(later.incarnation, later.state) > std::tie(earlier.incarnation, earlier.state);
 }
 
+bool is_same_state(const member_update& a, const member_update& b) {
+    return a.incarnation == b.incarnation && a.state == b.state;
+}
+
 member_update own_update(const membership_state& state) {
     return {state.self, state.leaving ? member_state::leaving : member_state::alive, state.incarnation};
 }
@@ -100,6 +104,11 @@
         take_over(state, known->second, update, now);
     } else if (update == known->second.newest) {
         known->second.seen = true;
+    } else if (!known->second.seen && is_same_state(update, known->second.newest)) {
+        // Settings and the platform's list may describe a host wrongly; what the host says of itself decides, or hosts would
+        // choose different owners for good.
+        take_over(state, known->second, update, now);
+        record_change(state, id, update.state, "described_by=" + id, now);
     }
 }
 
--- a/src/camphorstack/hosts/platform_tasks.cpp
+++ b/src/camphorstack/hosts/platform_tasks.cpp
@@ -66,7 +66,7 @@
                    actions);
     }
     if (!is_open(state, platform_purpose::watch_document) && state.platform.reachable) {
-        const auto version = state.known.content->version;
+        const auto version = state.known.held.content->version;
         start_call(state, platform_purpose::watch_document, {0, platform_operation::watch, document_object, version, ""}, "", now,
                    actions);
     }
@@ -101,7 +101,7 @@
 
 /// Own evidence needs both objects: the age is that of the older read.
 void note_evidence(host_state& state, bool confirmed, instant observed) {
-    const watcher_evidence seen{state.known.content->version, state.members.epoch, confirmed, observed};
+    const watcher_evidence seen{state.known.held.content->version, state.members.epoch, confirmed, observed};
     record_own_evidence(state.evidence, state.settings.self.id, seen);
 }
 
@@ -117,7 +117,7 @@
         push_document(state, actions);
     }
     // A document that this host cannot read must not be reported as in force.
-    const bool in_force = answer.status == platform_status::ok && answer.version <= state.known.content->version;
+    const bool in_force = answer.status == platform_status::ok && answer.version <= state.known.held.content->version;
     const auto members_at = state.platform.members_confirmed_at;
     if (call.purpose == platform_purpose::confirm_document && in_force && members_at) {
         note_evidence(state, true, std::min(call.sent, *members_at));
--- a/src/camphorstack/hosts/spread.cpp
+++ b/src/camphorstack/hosts/spread.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <iterator>
 
-#include "camphorstack/document/sections.hpp"
 #include "camphorstack/hosts/host_state.hpp"
 
 namespace camphorstack {
@@ -23,17 +22,17 @@
 }  // namespace
 
 bool adopt_document(host_state& state, const std::string& text, document_version version, instant now, host_actions& actions) {
-    if (version <= state.known.content->version) {
-        return false;
-    }
-    try {
-        auto content = std::make_shared<const document>(parse_document(text, version));
-        state.known = {text, content, index_keys(*content)};
-    } catch (const document_error& problem) {
-        record_decision(state, {now, "document_rejected", "version=" + std::to_string(version), problem.what()}, actions);
+    auto& held = state.known.held;
+    const auto refused_before = held.refused_version;
+    if (!accept_document(held, text, version)) {
+        if (held.refused_version != refused_before) {
+            record_decision(state, {now, "document_rejected", "version=" + std::to_string(version), held.refused_because},
+                            actions);
+        }
         return false;
     }
-    shares_on_document(state.shares, *state.known.content, now);
+    state.known.workspace_by_key = index_keys(*held.content);
+    shares_on_document(state.shares, *held.content, now);
     record_decision(state, {now, "document_in_force", "document", "version=" + std::to_string(version)}, actions);
     return true;
 }
@@ -60,7 +59,7 @@
     std::vector<member> chosen;
     std::ranges::sample(peers, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(state.settings.push_fanout), state.random);
     for (const auto& peer : chosen) {
-        send_peer(state, peer.id, document_reply{state.known.content->version, state.known.text}, actions);
+        send_peer(state, peer.id, document_reply{state.known.held.content->version, state.known.held.text}, actions);
     }
 }
 
--- a/src/camphorstack/links/report_json.cpp
+++ b/src/camphorstack/links/report_json.cpp
@@ -87,6 +87,16 @@
     out.end_object();
 }
 
+std::map<std::string, std::uint64_t> sum_refusals(const host_report& report) {
+    std::map<std::string, std::uint64_t> sum;
+    for (const auto& workspace : report.workspaces) {
+        for (const auto& [reason, count] : workspace.refused) {
+            sum[reason] += count;
+        }
+    }
+    return sum;
+}
+
 }  // namespace
 
 std::string format_status(const host_report& report) {
@@ -119,10 +129,17 @@
     out.begin_object().field("id", report.id).field("version", report.version).field("serving", to_text(report.serving));
     out.name("decisions").begin_array();
     for (const auto& decision : report.decisions) {
-        out.begin_object().field("at_ms", decision.at.since_start).field("kind", decision.kind);
+        out.begin_object()
+            .field("at_ms", decision.at.since_start)
+            .field("age_ms", (report.reported_at - decision.at).count)
+            .field("kind", decision.kind);
         out.field("subject", decision.subject).field("observations", decision.observations).end_object();
     }
-    out.end_array().name("workspaces").begin_array();
+    out.end_array().name("refused").begin_object();
+    for (const auto& [reason, count] : sum_refusals(report)) {
+        out.field(reason.c_str(), count);
+    }
+    out.end_object().name("workspaces").begin_array();
     for (const auto& workspace : report.workspaces) {
         out.begin_object().field("id", workspace.id).field("admitted", workspace.admitted);
         write_refusals(out, workspace);
--- a/tools/local_fleet.sh
+++ b/tools/local_fleet.sh
@@ -8,6 +8,7 @@
 centres=(amman-a irbid-a aqaba-a)
 workspace_ids=(counters-north counters-south archive)
 workspace_keys=(north-key-8f2b1c south-key-47d09e archive-key-c3361a)
+workspace_rate="${CAMPHORSTACK_WORKSPACE_RATE:-1000}"  # Requests per second.
 database=serial-registry-1
 route=books
 declare -A pid_of=()
@@ -32,7 +33,7 @@
     for i in 0 1 2; do
         hash="$(printf %s "${workspace_keys[$i]}" | sha256sum | cut -d' ' -f1)"
         hashes+=("{\"id\":\"${workspace_ids[$i]}\",\"keys\":[{\"id\":\"first\",\"sha256\":\"$hash\"}]}")
-        limits+=("{\"workspace\":\"${workspace_ids[$i]}\",\"rate_per_s\":1000,\"burst\":500}")
+        limits+=("{\"workspace\":\"${workspace_ids[$i]}\",\"rate_per_s\":$workspace_rate,\"burst\":$((workspace_rate / 2))}")
         names+=("\"${workspace_ids[$i]}\"")
         centre_list+=("{\"id\":\"${centres[$i]}\",\"region\":\"jordan\",\"state\":\"in\"}")
         endpoints+=("{\"id\":\"registry-1-$((i + 1))\",\"data_centre\":\"${centres[$i]}\",\"address\":\"$(instance_address $((i + 1)))\",\"slots\":2,\"connections\":16,\"state\":\"in\"}")
@@ -111,6 +112,20 @@
     for i in 1 2 3; do
         start_host "$i"
     done
+    check_started
+}
+
+# A program whose port is taken ends at once; its requests would reach somebody else's program.
+check_started() {
+    local name
+    sleep 0.5
+    for name in "${!pid_of[@]}"; do
+        if ! kill -0 "${pid_of[$name]}" 2> /dev/null; then
+            say "FAILED: $name did not start; are the ports from $port_base to $((port_base + 30)) free? Its log:"
+            cat "$fleet_directory/$name.log"
+            exit 1
+        fi
+    done
 }
 
 is_running() { [ -n "${pid_of[$1]:-}" ] && kill -0 "${pid_of[$1]}" 2> /dev/null; }
