--- a/src/camphorstack/links/caller_json.cpp
+++ b/src/camphorstack/links/caller_json.cpp
@@ -178,7 +178,8 @@
 std::string format_caller_reply(const caller_reply& reply) {
     json_writer out;
     out.begin_object();
-    out.field("outcome", to_string(reply.outcome)).field("reason", to_string(reply.reason)).field("result", reply.body);
+    out.field("outcome", to_string(reply.outcome)).field("reason", to_string(reply.reason));
+    out.field(reply.outcome == request_outcome::done ? "result" : "error", reply.body);
     out.field("session", reply.session_token).field("transaction", reply.transaction_token);
     out.field("served_by", reply.served_by).end_object();
     return out.text();
