--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -141,7 +141,8 @@
                       (i == withdrawn_workspace ? std::string() : key) + "]}";
         names += separator + quoted(workspace_name(i));
     }
-    return R"({"workspaces":[)" + workspaces + R"(],"routes":[{"id":"main","service":"registry","workspaces":[)" + names + "]}]}";
+    return R"({"workspaces":[)" + workspaces + R"(],"routes":[{"id":"main","service":"registry","workspaces":[)" + names +
+           R"(]},{"id":"public","service":"registry","workspaces":[],"open_workspace":)" + quoted(workspace_name(0)) + "}]}";
 }
 
 document_version fleet::apply(const std::string& section, const std::string& content) {
--- a/tests/fleet/operations.tests.cpp
+++ b/tests/fleet/operations.tests.cpp
@@ -304,6 +304,24 @@
         request.route = "elsewhere";
         expect(request, refusal::not_routed);
     }
+    SECTION("a write without a key on a route that is open to all") {
+        request.key_sha256.clear();
+        request.route = "public";
+        expect(request, refusal::bad_key);
+    }
+    SECTION("a workspace that the open route does not name") {
+        request.route = "public";
+        expect(request, refusal::not_routed);
+    }
+    SECTION("a read without a key on a route that is open to all runs") {
+        auto open = subject.request(1, 0, request_kind::read, "GET mine");
+        open.key_sha256.clear();
+        open.route = "public";
+        subject.call(subject.host(3), open, keep);
+        subject.run_for(1_s);
+        CHECK(replies.back().outcome == request_outcome::done);
+        CHECK(replies.back().workspace == fleet::workspace_name(0));
+    }
 }
 
 TEST_CASE("statements of different transactions are never mixed, also when they roam over hosts",
