--- a/src/camphorstack/hosts/entry.cpp
+++ b/src/camphorstack/hosts/entry.cpp
@@ -58,7 +58,7 @@
     return std::nullopt;
 }
 
-/// Hands a copy of the request to one host. May answer it at once when the host is this one.
+/// Hands a copy of the request to one host. A reply of this host's own group is taken at the end of the step.
 void send_request(host_state& state, pending_request& pending, const host_id& target, instant now, host_actions& actions) {
     pending.stage = pending_stage::at_owner;
     pending.sent = now;
