--- /dev/null
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -0,0 +1,117 @@
+#include "camphorstack/catalog/collection_watch.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorstack {
+
+namespace {
+
+void start_list_anew(collection_watch& watch, instant next) {
+    watch.after.clear();
+    watch.partial.clear();
+    watch.next_list = next;
+}
+
+void note_evidence(collection_watch& watch, instant sent) {
+    watch.evidence = std::max(watch.evidence.value_or(sent), sent);
+}
+
+std::optional<collection_news> receive_list(collection_watch& watch, const catalog_answer& answer, instant sent, instant now) {
+    watch.reachable = answer.status == catalog_status::done;
+    if (!watch.reachable) {
+        start_list_anew(watch, now + watch.settings.retry_interval);
+        return std::nullopt;
+    }
+    if (watch.after.empty()) {
+        watch.listing_sent = sent;
+        watch.listing_revision = answer.revision;
+    }
+    watch.partial.insert(watch.partial.end(), answer.items.begin(), answer.items.end());
+    if (answer.more && !answer.items.empty()) {
+        watch.after = answer.items.back().name;
+        watch.next_list = now;
+        return std::nullopt;
+    }
+    collection_news news{true, std::exchange(watch.partial, {}), {}};
+    const auto first_sent = watch.listing_sent;
+    const bool again = watch.settings.read_interval > millis{0};
+    start_list_anew(watch, again ? first_sent + watch.settings.read_interval : now);
+    // A watch that is waiting goes on from its own revision; what it reports again is known already.
+    watch.revision = std::max(watch.revision, watch.listing_revision);
+    if (!watch.listed) {
+        watch.listed = true;
+        watch.next_watch = now;
+    }
+    note_evidence(watch, first_sent);
+    return news;
+}
+
+std::optional<collection_news> receive_watch(collection_watch& watch, const catalog_answer& answer, instant sent, instant now) {
+    watch.reachable = answer.status == catalog_status::done || answer.status == catalog_status::history_gone;
+    if (answer.status == catalog_status::history_gone) {
+        watch.listed = false;
+        start_list_anew(watch, now);
+        return std::nullopt;
+    }
+    if (!watch.reachable) {
+        watch.next_watch = now + watch.settings.retry_interval;
+        return std::nullopt;
+    }
+    watch.next_watch = now;
+    note_evidence(watch, sent);
+    if (answer.items.empty() && answer.removed.empty()) {
+        return std::nullopt;
+    }
+    watch.revision = std::max(watch.revision, answer.revision);
+    return collection_news{false, answer.items, answer.removed};
+}
+
+bool timed_out(const std::optional<open_catalog_call>& open, millis limit, instant now) {
+    return open && now - open->sent >= limit;
+}
+
+}  // namespace
+
+std::vector<catalog_call> due_calls(collection_watch& watch, std::uint64_t& next_id, instant now) {
+    std::vector<catalog_call> calls;
+    if (timed_out(watch.listing, watch.settings.answer_timeout, now)) {
+        watch.listing.reset();
+        watch.reachable = false;
+        start_list_anew(watch, now);
+    }
+    if (timed_out(watch.watching, watch.settings.watch_time + watch.settings.answer_timeout, now)) {
+        watch.watching.reset();
+        watch.reachable = false;
+        watch.next_watch = now;
+    }
+    const bool list_wanted = !watch.listed || watch.settings.read_interval > millis{0} || !watch.after.empty();
+    if (list_wanted && !watch.listing && now >= watch.next_list) {
+        watch.listing = open_catalog_call{next_id++, now};
+        calls.push_back({watch.listing->id, watch.of, catalog_operation::list, watch.after, 0, millis{0}, ""});
+    }
+    if (watch.listed && !watch.watching && now >= watch.next_watch) {
+        watch.watching = open_catalog_call{next_id++, now};
+        calls.push_back(
+            {watch.watching->id, watch.of, catalog_operation::watch, "", watch.revision, watch.settings.watch_time, ""});
+    }
+    return calls;
+}
+
+bool owns_call(const collection_watch& watch, std::uint64_t id) {
+    return (watch.listing && watch.listing->id == id) || (watch.watching && watch.watching->id == id);
+}
+
+std::optional<collection_news> receive_answer(collection_watch& watch, const catalog_answer& answer, instant now) {
+    if (watch.listing && watch.listing->id == answer.id) {
+        const auto sent = std::exchange(watch.listing, std::nullopt)->sent;
+        return receive_list(watch, answer, sent, now);
+    }
+    if (watch.watching && watch.watching->id == answer.id) {
+        const auto sent = std::exchange(watch.watching, std::nullopt)->sent;
+        return receive_watch(watch, answer, sent, now);
+    }
+    return std::nullopt;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "camphorstack/catalog/catalog.hpp"
+
+namespace camphorstack {
+
+/// How one collection is followed.
+struct collection_watch_settings {
+    millis watch_time;      ///< The store answers a watch without changes after this time.
+    millis read_interval;   ///< Between plain reads of the whole collection; 0 if only watched.
+    millis answer_timeout;  ///< Beyond the time that the store may take.
+    millis retry_interval;  ///< After a failed call.
+
+    friend bool operator==(const collection_watch_settings&, const collection_watch_settings&) = default;
+};
+
+/// A call in flight.
+struct open_catalog_call {
+    std::uint64_t id = 0;
+    instant sent;
+
+    friend bool operator==(const open_catalog_call&, const open_catalog_call&) = default;
+};
+
+/// Follows one collection of the store: lists it, then watches for changes, and lists it again when its history is gone.
+///
+/// A watch always starts from the last revision that carried a change, never from one that an answer without changes names: the
+/// store may have skipped changes of the last moments, and they would then never be heard of.
+struct collection_watch {
+    collection of = collection::document;
+    collection_watch_settings settings;
+    bool listed = false;          ///< The first list is complete.
+    store_revision revision = 0;  ///< Changes up to here are known.
+    store_revision listing_revision = 0;
+    std::string after;                  ///< Last name of an incomplete list.
+    std::vector<catalog_item> partial;  ///< Items of an incomplete list.
+    instant listing_sent;               ///< When the first page of the list was asked for.
+    std::optional<open_catalog_call> listing;
+    std::optional<open_catalog_call> watching;
+    instant next_list;
+    instant next_watch;
+    std::optional<instant> evidence;  ///< Every change up to this instant of the own clock is known.
+    bool reachable = false;           ///< The last call was answered.
+};
+
+/// News of one collection.
+struct collection_news {
+    bool complete = false;  ///< `items` is the whole collection; what it lacks is gone.
+    std::vector<catalog_item> items;
+    std::vector<std::string> removed;
+
+    friend bool operator==(const collection_news&, const collection_news&) = default;
+};
+
+/// Calls that are due. Ids are taken from `next_id`.
+std::vector<catalog_call> due_calls(collection_watch& watch, std::uint64_t& next_id, instant now);
+
+/// True if the answer belongs to one of the watch's calls.
+[[nodiscard]] bool owns_call(const collection_watch& watch, std::uint64_t id);
+
+/// Takes an answer. Returns news if there are any.
+std::optional<collection_news> receive_answer(collection_watch& watch, const catalog_answer& answer, instant now);
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/catalog/fleet_record.cpp
@@ -0,0 +1,152 @@
+#include "camphorstack/catalog/fleet_record.hpp"
+
+#include "camphorstack/document/json_tree.hpp"
+#include "camphorstack/support/errors.hpp"
+#include "camphorstack/support/json.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+constexpr const char* leader_prefix = "leader-";
+
+void write_member(json_writer& out, const member& host) {
+    out.begin_object()
+        .field("id", host.id)
+        .field("address", host.address)
+        .field("http_address", host.http_address)
+        .field("data_centre", host.location)
+        .end_object();
+}
+
+struct record_writer {
+    json_writer& out;
+
+    void operator()(const coordinator_record& record) const {
+        this->out.name("host");
+        write_member(this->out, record.host);
+        this->out.field("nonce", record.nonce).field("fence", record.fence);
+    }
+    void operator()(const members_record& record) const {
+        this->out.field("epoch", record.list.epoch).name("hosts").begin_array();
+        for (const auto& host : record.list.hosts) {
+            write_member(this->out, host);
+        }
+        this->out.end_array().name("unreachable").begin_array();
+        for (const auto& host : record.unreachable) {
+            this->out.value(host);
+        }
+        this->out.end_array();
+    }
+    void operator()(const leader_record& record) const {
+        this->out.field("database", record.database)
+            .field("endpoint", record.endpoint)
+            .field("phase", record.phase == leader_phase::serving ? "serving" : "changing")
+            .field("planned", record.planned)
+            .field("round", record.round);
+    }
+};
+
+std::string required_text(JsonObject* object, const char* name) {
+    auto value = string_member(object, name);
+    if (!value) {
+        throw format_error(std::string("fleet record: \"") + name + "\" must be a string");
+    }
+    return *value;
+}
+
+std::uint64_t required_number(JsonObject* object, const char* name) {
+    const auto value = integer_member(object, name);
+    if (!value || *value < 0) {
+        throw format_error(std::string("fleet record: \"") + name + "\" must be a whole number of 0 or more");
+    }
+    return static_cast<std::uint64_t>(*value);
+}
+
+member read_member(JsonObject* object) {
+    if (object == nullptr) {
+        throw format_error("fleet record: a host must be an object");
+    }
+    return {required_text(object, "id"), required_text(object, "address"), required_text(object, "http_address"),
+            required_text(object, "data_centre")};
+}
+
+members_record read_members(JsonObject* root) {
+    members_record record;
+    record.list.epoch = required_number(root, "epoch");
+    JsonArray* hosts = array_member(root, "hosts");
+    JsonArray* unreachable = array_member(root, "unreachable");
+    if (hosts == nullptr || unreachable == nullptr) {
+        throw format_error("fleet record: \"hosts\" and \"unreachable\" must be arrays");
+    }
+    for (guint i = 0; i < json_array_get_length(hosts); ++i) {
+        JsonNode* node = json_array_get_element(hosts, i);
+        record.list.hosts.push_back(read_member(JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : nullptr));
+    }
+    for (guint i = 0; i < json_array_get_length(unreachable); ++i) {
+        JsonNode* node = json_array_get_element(unreachable, i);
+        const char* text = JSON_NODE_HOLDS_VALUE(node) ? json_node_get_string(node) : nullptr;
+        if (text == nullptr) {
+            throw format_error("fleet record: \"unreachable\" must hold strings");
+        }
+        record.unreachable.emplace_back(text);
+    }
+    return record;
+}
+
+leader_record read_leader(JsonObject* root) {
+    leader_record record;
+    record.database = required_text(root, "database");
+    record.endpoint = required_text(root, "endpoint");
+    const auto phase = required_text(root, "phase");
+    if (phase != "serving" && phase != "changing") {
+        throw format_error("fleet record: \"phase\" must be \"serving\" or \"changing\"");
+    }
+    record.phase = phase == "serving" ? leader_phase::serving : leader_phase::changing;
+    record.planned = boolean_member(root, "planned").value_or(false);
+    record.round = required_number(root, "round");
+    return record;
+}
+
+}  // namespace
+
+std::string leader_object_name(const database_id& database) {
+    return leader_prefix + database;
+}
+
+std::string object_name(const fleet_record& record) {
+    if (const auto* leader = std::get_if<leader_record>(&record)) {
+        return leader_object_name(leader->database);
+    }
+    return std::holds_alternative<members_record>(record) ? members_record::name : coordinator_record::name;
+}
+
+std::string to_text(const fleet_record& record) {
+    json_writer out;
+    out.begin_object();
+    std::visit(record_writer{out}, record);
+    out.end_object();
+    return out.text();
+}
+
+fleet_record parse_fleet_record(const std::string& name, const std::string& text) {
+    const json_tree tree(text);
+    JsonObject* root = tree.root();
+    if (!tree.faults().empty() || root == nullptr) {
+        throw format_error("fleet record: not a JSON object");
+    }
+    if (name == coordinator_record::name) {
+        return coordinator_record{read_member(object_member(root, "host")), required_text(root, "nonce"),
+                                  required_number(root, "fence")};
+    }
+    if (name == members_record::name) {
+        return read_members(root);
+    }
+    auto leader = read_leader(root);
+    if (name != leader_object_name(leader.database)) {
+        throw format_error("fleet record: \"" + name + "\" does not name its database");
+    }
+    return leader;
+}
+
+}  // namespace camphorstack
--- a/src/camphorstack/cli/check.cpp
+++ b/src/camphorstack/cli/check.cpp
@@ -8,6 +8,7 @@
 #include "camphorstack/document/document_file.hpp"
 #include "camphorstack/document/sections.hpp"
 #include "camphorstack/settings/daemon_settings.hpp"
+#include "camphorstack/settings/session_settings.hpp"
 
 namespace camphorstack {
 
@@ -17,6 +18,14 @@
     return path.ends_with(".yaml") || path.ends_with(".yml");
 }
 
+void check_settings(const std::string& text, const std::string& path) {
+    if (is_session_settings(text)) {
+        static_cast<void>(parse_session_settings(text, path));
+    } else {
+        static_cast<void>(parse_settings(text, path));
+    }
+}
+
 void print_document_errors(const std::string& path, const std::string& errors) {
     std::istringstream lines{errors};
     for (std::string line; std::getline(lines, line);) {
@@ -35,7 +44,7 @@
     const auto text = read_file(path);
     try {
         if (is_settings_file(path)) {
-            static_cast<void>(parse_settings(text, path));
+            check_settings(text, path);
         } else {
             check_document_file(text);
         }
--- /dev/null
+++ b/src/camphorstack/coordination/coordination_messages.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "camphorstack/catalog/fleet_record.hpp"
+#include "camphorstack/hosts/member.hpp"
+#include "camphorstack/support/clock.hpp"
+
+namespace camphorstack {
+
+enum class host_stage : std::uint8_t {
+    serving,
+    leaving,  ///< Finishes what it has and owns nothing.
+    gone,     ///< The process ends now.
+};
+
+/// Sent by each host to the coordinator at a fixed interval, and at once when something in it changes.
+struct membership_report {
+    member host;
+    std::string nonce;  ///< Of the host's process.
+    host_stage stage = host_stage::serving;
+    std::vector<endpoint_id> suspected;  ///< Endpoints that do not answer this host.
+
+    friend bool operator==(const membership_report&, const membership_report&) = default;
+};
+
+/// Answer to a report, also by a host that is not the coordinator.
+struct membership_answer {
+    bool coordinates = false;  ///< The sender holds the duty and reaches the store.
+
+    friend bool operator==(const membership_answer&, const membership_answer&) = default;
+};
+
+/// The sender has no work left that rests on a leader record before `round`, and starts none.
+struct leader_closed {
+    database_id database;
+    leader_round round = 0;
+
+    friend bool operator==(const leader_closed&, const leader_closed&) = default;
+};
+
+/// The caller's session has left its transaction.
+struct transaction_left {
+    std::uint64_t transaction = 0;
+
+    friend bool operator==(const transaction_left&, const transaction_left&) = default;
+};
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/coordination/duty.cpp
@@ -0,0 +1,245 @@
+#include <algorithm>
+
+#include "camphorstack/coordination/coordinator.hpp"
+#include "camphorstack/session_host/catalog_news.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+/// A coordinator whose evidence of its duty is older than this does not claim it.
+constexpr millis claim_limit{1500};
+/// Answers of peers count this long when a host judges whether the coordinator or itself is cut off.
+constexpr millis peer_answer_time{1200};
+/// Without answers of most peers, a host that reaches the store takes over after this many times the usual wait: all others may
+/// be gone.
+constexpr std::int64_t alone_factor = 3;
+
+membership_report make_report(const session_host_state& state, instant now) {
+    membership_report report;
+    report.host = state.settings.self;
+    report.nonce = state.settings.nonce;
+    report.stage = state.stopping ? host_stage::leaving : host_stage::serving;
+    for (const auto& [id, endpoint] : state.executor.endpoints) {
+        if (is_suspected(state.executor, endpoint, now)) {
+            report.suspected.push_back(id);
+        }
+    }
+    return report;
+}
+
+bool reaches_store(const session_host_state& state, instant now) {
+    const auto age = evidence_age(state, collection::fleet, now);
+    return age && *age < claim_limit;
+}
+
+/// Place of this host in the order of succession.
+std::int64_t succession_rank(const session_host_state& state) {
+    std::int64_t rank = 0;
+    const auto& coordinator = state.catalog.coordinator->record.host.id;
+    for (const auto& host : listed_members(state)) {
+        if (host.id == state.settings.self.id) {
+            return rank;
+        }
+        rank += host.id == coordinator ? 0 : 1;
+    }
+    return rank;
+}
+
+bool hears_most_peers(const session_host_state& state, instant now) {
+    const auto others = std::ranges::count_if(listed_members(state), [&](const member& host) {
+        return host.id != state.settings.self.id && host.id != state.catalog.coordinator->record.host.id;
+    });
+    const auto heard = std::ranges::count_if(state.coordination.peers_heard,
+                                             [&](const auto& item) { return now - item.second < peer_answer_time; });
+    return heard * 2 >= others;
+}
+
+void take_over(session_host_state& state, instant now) {
+    const auto& known = state.catalog.coordinator;
+    coordinator_record record{state.settings.self, state.settings.nonce, known ? known->record.fence + 1 : 1};
+    state.coordination.takeover_call = write_record(state, record, known ? known->revision : 0);
+    log_decision(state, "duty_wanted",
+                 "fence=" + std::to_string(record.fence) + " coordinator=" + (known ? known->record.host.id : "none") +
+                     " unanswered_ms=" + std::to_string((now - state.coordination.answered).count));
+}
+
+bool should_take_over(const session_host_state& state, instant now) {
+    const auto& duty = state.coordination;
+    if (duty.takeover_call || state.stopping || !reaches_store(state, now)) {
+        return false;
+    }
+    if (!state.catalog.coordinator) {
+        return true;
+    }
+    if (state.catalog.coordinator->record.host.id == state.settings.self.id) {
+        return !holds_duty(state);
+    }
+    const auto unanswered = now - duty.answered;
+    const auto wait = duty.settings.takeover_after + duty.settings.takeover_step * succession_rank(state);
+    return unanswered >= wait && (hears_most_peers(state, now) || unanswered >= wait * alone_factor);
+}
+
+void send_reports(session_host_state& state, instant now) {
+    auto& duty = state.coordination;
+    auto report = make_report(state, now);
+    const bool has_news = report.suspected != duty.reported_suspects;
+    if (!state.catalog.coordinator || (now < duty.next_report && !has_news)) {
+        return;
+    }
+    duty.reported_suspects = report.suspected;
+    duty.next_report = now + duty.settings.report_interval;
+    const auto& coordinator = state.catalog.coordinator->record.host.id;
+    if (coordinator == state.settings.self.id) {
+        receive_membership_report(state, coordinator, report, now);
+        return;
+    }
+    const bool is_silent = now - duty.answered >= duty.settings.takeover_after / 2;
+    duty.report_sent = now;
+    send_peer(state, coordinator, report);
+    if (is_silent) {
+        for (const auto& host : listed_members(state)) {
+            if (host.id != coordinator && host.id != state.settings.self.id) {
+                send_peer(state, host.id, report);
+            }
+        }
+    }
+}
+
+}  // namespace
+
+bool holds_duty(const session_host_state& state) {
+    const auto& known = state.catalog.coordinator;
+    return known && known->record.host.id == state.settings.self.id && known->record.nonce == state.settings.nonce;
+}
+
+const std::vector<member>& listed_members(const session_host_state& state) {
+    static const std::vector<member> none;
+    return state.catalog.members ? state.catalog.members->record.list.hosts : none;
+}
+
+void duty_tick(session_host_state& state, instant now) {
+    auto& duty = state.coordination;
+    if (!watch_of(state, collection::fleet).listed) {
+        duty.answered = now;
+        return;
+    }
+    const bool holds = holds_duty(state);
+    if (holds != duty.is_coordinator) {
+        duty.is_coordinator = holds;
+        duty.took_over = now;
+        duty.changes.clear();
+        duty.questions.clear();
+        duty.members_call.reset();
+        duty.next_members = now + duty.settings.gather_time;
+        log_decision(state, holds ? "duty_taken" : "duty_lost", "host=" + state.settings.self.id);
+        for (const auto& host : listed_members(state)) {
+            if (holds && !duty.hosts.contains(host.id)) {
+                duty.hosts[host.id] = {{host, "", host_stage::serving, {}}, now};
+            }
+        }
+    }
+    send_reports(state, now);
+    if (should_take_over(state, now)) {
+        take_over(state, now);
+    }
+}
+
+void announce_end(session_host_state& state) {
+    if (!state.catalog.coordinator) {
+        return;
+    }
+    membership_report report{state.settings.self, state.settings.nonce, host_stage::gone, {}};
+    const auto& coordinator = state.catalog.coordinator->record.host.id;
+    if (coordinator != state.settings.self.id) {
+        send_peer(state, coordinator, report);
+        return;
+    }
+    for (const auto& host : listed_members(state)) {
+        if (host.id != coordinator) {
+            send_peer(state, host.id, report);
+        }
+    }
+}
+
+void receive_membership_report(session_host_state& state, const host_id& from, const membership_report& report, instant now) {
+    auto& duty = state.coordination;
+    const auto known = duty.hosts.find(from);
+    const bool is_news = known == duty.hosts.end() || known->second.report != report;
+    if (is_news && report.stage == host_stage::gone) {
+        log_decision(state, "host_gone", "host=" + from);
+    }
+    duty.hosts[from] = {report, now};
+    if (from == state.settings.self.id) {
+        duty.answered = now;
+        return;
+    }
+    if (report.stage == host_stage::gone && state.catalog.coordinator && state.catalog.coordinator->record.host.id == from) {
+        // The coordinator ends: its successor need not wait.
+        duty.answered = now - duty.settings.takeover_after;
+    }
+    send_peer(state, from, membership_answer{duty.is_coordinator && reaches_store(state, now) && !state.stopping});
+}
+
+void receive_membership_answer(session_host_state& state, const host_id& from, const membership_answer& answer, instant now) {
+    auto& duty = state.coordination;
+    const bool is_coordinator = state.catalog.coordinator && state.catalog.coordinator->record.host.id == from;
+    if (is_coordinator && answer.coordinates) {
+        duty.answered = std::max(duty.answered, duty.report_sent);
+    } else if (!is_coordinator) {
+        duty.peers_heard[from] = now;
+    }
+}
+
+void note_broken_link(session_host_state& state, const host_id& peer, instant now) {
+    /// A process that is restarted at once is back within this time.
+    constexpr millis return_time{250};
+    auto& duty = state.coordination;
+    const auto known = duty.hosts.find(peer);
+    if (known != duty.hosts.end()) {
+        known->second.heard = std::min(known->second.heard, now - duty.settings.unreachable_after + return_time);
+    }
+}
+
+std::uint64_t write_record(session_host_state& state, const fleet_record& record, store_revision revision) {
+    const auto operation = revision == 0 ? catalog_operation::create : catalog_operation::replace;
+    const auto id = state.next_call++;
+    state.actions.emplace_back(
+        catalog_call{id, collection::fleet, operation, object_name(record), revision, millis{0}, to_text(record)});
+    return id;
+}
+
+bool receive_record_answer(session_host_state& state, const catalog_answer& answer, instant now) {
+    auto& duty = state.coordination;
+    const bool takeover = duty.takeover_call == answer.id;
+    const bool members = duty.members_call == answer.id;
+    const auto change =
+        std::ranges::find_if(duty.changes, [&](const auto& item) { return item.second.call == answer.id; });
+    if (!takeover && !members && change == duty.changes.end()) {
+        return false;
+    }
+    if (takeover) {
+        duty.takeover_call.reset();
+    }
+    if (members) {
+        duty.members_call.reset();
+    }
+    if (change != duty.changes.end()) {
+        change->second.call.reset();
+        change->second.not_before = answer.status == catalog_status::done ? now : now + duty.settings.retry_interval;
+    }
+    log_decision(state, "record_written", std::string("what=") + (takeover ? "coordinator" : members ? "members" : "leader") +
+                                              " status=" + to_string(answer.status));
+    for (const auto& item : answer.items) {
+        adopt_fleet_item(state, item, now);
+    }
+    if (answer.status != catalog_status::done) {
+        // What was written in the end is read back.
+        watch_of(state, collection::fleet).next_list = now;
+    }
+    duty_tick(state, now);
+    leaders_tick(state, now);
+    return true;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -0,0 +1,455 @@
+#include <algorithm>
+#include <utility>
+
+#include "camphorstack/coordination/coordinator.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+/// Why a leader must be replaced.
+struct change_reason {
+    std::string text;
+    bool planned = false;  ///< The endpoint still serves well.
+};
+
+bool store_settled(const session_host_state& state, instant now) {
+    return !state.coordination.store_was_away && now - state.coordination.store_returned >= state.coordination.settings.store_return_time;
+}
+
+/// How long a condition has held; it is forgotten when it does not hold.
+bool holds_for(std::map<endpoint_id, instant>& since, const endpoint_id& id, bool holds, millis time, instant now) {
+    if (!holds) {
+        since.erase(id);
+        return false;
+    }
+    return now - since.try_emplace(id, now).first->second >= time;
+}
+
+bool is_suspected_by_any(const session_host_state& state, const endpoint_id& id, instant now) {
+    const auto& duty = state.coordination;
+    return std::ranges::any_of(duty.hosts, [&](const auto& item) {
+        const bool recent = now - item.second.heard < duty.settings.unreachable_after;
+        return recent && std::ranges::find(item.second.report.suspected, id) != item.second.report.suspected.end();
+    });
+}
+
+std::optional<change_reason> reason_to_change(session_host_state& state, const leader_record& record, instant now) {
+    auto& duty = state.coordination;
+    const auto found = state.catalog.endpoints.find(record.endpoint);
+    const bool missing = found == state.catalog.endpoints.end();
+    if (holds_for(duty.missing_since, record.endpoint, missing && store_settled(state, now), duty.settings.gone_after, now)) {
+        return change_reason{"endpoint_gone", true};
+    }
+    if (missing) {
+        return std::nullopt;
+    }
+    const bool suspected = is_suspected_by_any(state, record.endpoint, now);
+    if (holds_for(duty.suspected_since, record.endpoint, suspected, duty.settings.suspicion_time, now)) {
+        return change_reason{"endpoint_suspected", false};
+    }
+    if (found->second.draining) {
+        return change_reason{"endpoint_draining", true};
+    }
+    if (state.catalog.evacuated.contains(found->second.location)) {
+        return change_reason{"data_centre_evacuated", true};
+    }
+    return std::nullopt;
+}
+
+std::vector<endpoint_id> candidates_of(const session_host_state& state, const leader_change& change) {
+    std::vector<endpoint_id> found;
+    for (const auto& [id, entry] : state.catalog.endpoints) {
+        const bool usable = entry.database == change.record.database && id != change.record.endpoint &&
+                            takes_new_work(state, entry) && !change.refused.contains(id);
+        if (usable) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+void enter(session_host_state& state, leader_change& change, change_step step, instant now) {
+    change.step = step;
+    change.step_began = now;
+    log_decision(state, "leader_change",
+                 "database=" + change.record.database + " endpoint=" + change.record.endpoint + " round=" +
+                     std::to_string(change.record.round) + " step=" + to_string(step) + " reason=" + change.reason +
+                     (change.target.empty() ? "" : " target=" + change.target));
+}
+
+void ask_status(session_host_state& state, leader_change& change, const endpoint_id& endpoint, instant now) {
+    const auto open = change.questions.find(endpoint);
+    const bool waits = open != change.questions.end() && now - open->second.asked < state.coordination.settings.status_time * 2;
+    if (waits || state.catalog.content->workspaces.empty()) {
+        return;
+    }
+    run_request request;
+    request.id = state.next_call++;
+    request.endpoint = endpoint;
+    request.workspace = state.catalog.content->workspaces.front().id;
+    request.kind = run_kind::status;
+    request.statement_timeout = state.coordination.settings.status_time;
+    request.patience = state.coordination.settings.status_time;
+    change.questions[endpoint] = {request.id, now};
+    state.coordination.questions[request.id] = {change.record.database, endpoint};
+    start_run(state, executor_host(state, endpoint, now), std::move(request), now);
+}
+
+void ask_all(session_host_state& state, leader_change& change, const std::vector<endpoint_id>& endpoints, instant now) {
+    if (now < change.next_question) {
+        return;
+    }
+    change.next_question = now + state.coordination.settings.status_interval;
+    for (const auto& endpoint : endpoints) {
+        ask_status(state, change, endpoint, now);
+    }
+}
+
+bool is_closed(const session_host_state& state, const leader_change& change, instant now) {
+    const auto& settings = state.coordination.settings;
+    const auto right_ends = settings.leader_right + settings.right_margin;
+    if (now - change.recorded >= right_ends) {
+        return true;
+    }
+    const bool all_told = std::ranges::all_of(listed_members(state),
+                                              [&](const member& host) { return change.closed.contains(host.id); });
+    return all_told && now - state.coordination.last_removal >= right_ends && !listed_members(state).empty();
+}
+
+void write_change(session_host_state& state, leader_change& change, instant now) {
+    if (change.call || now < change.not_before) {
+        return;
+    }
+    const auto& stored = state.catalog.leaders[change.record.database];
+    if (stored.record.round + 1 != change.record.round) {
+        // Another coordinator has changed the record since.
+        change.abandoned = true;
+        return;
+    }
+    change.call = write_record(state, change.record, stored.revision);
+}
+
+/// Status of a candidate, asked for after the hosts' work has ended.
+const endpoint_self_report* status_of(const leader_change& change, const endpoint_id& endpoint) {
+    const auto found = change.statuses.find(endpoint);
+    return found == change.statuses.end() ? nullptr : &found->second.status;
+}
+
+/// The candidate that has received most; one that leads a later term already goes first.
+std::optional<endpoint_id> best_candidate(const leader_change& change, const std::vector<endpoint_id>& candidates) {
+    std::optional<endpoint_id> best;
+    for (const auto& id : candidates) {
+        const auto* status = status_of(change, id);
+        if (status == nullptr) {
+            continue;
+        }
+        const auto rank = [&](const endpoint_id& candidate) {
+            const auto* told = status_of(change, candidate);
+            return std::pair(told->is_primary ? told->term : 0, told->received);
+        };
+        if (!best || rank(id) > rank(*best)) {
+            best = id;
+        }
+    }
+    return best;
+}
+
+bool needs_all_candidates(const session_host_state& state, const leader_change& change) {
+    const auto* group = find_database(*state.catalog.content, change.record.database);
+    return group != nullptr && group->synchronous_replicas > 0;
+}
+
+/// A planned change's successor holds all that the old leader has.
+bool has_caught_up(const leader_change& change, const endpoint_id& candidate) {
+    const auto* old = status_of(change, change.record.endpoint);
+    return old != nullptr && status_of(change, candidate)->received >= old->received;
+}
+
+void publish(session_host_state& state, leader_change& change, const endpoint_id& leader, instant now) {
+    change.target = leader;
+    change.record.endpoint = leader;
+    change.record.phase = leader_phase::serving;
+    change.record.planned = false;
+    ++change.record.round;
+    enter(state, change, change_step::publishing, now);
+    write_change(state, change, now);
+}
+
+void choose(session_host_state& state, leader_change& change, instant now) {
+    const auto& settings = state.coordination.settings;
+    const auto spent = now - change.step_began;
+    const auto candidates = candidates_of(state, change);
+    auto asked = candidates;
+    const auto& old = change.record.endpoint;
+    const bool old_listed = state.catalog.endpoints.contains(old);
+    if (change.record.planned || spent >= settings.status_time) {
+        asked.push_back(old);
+    }
+    ask_all(state, change, asked, now);
+    const auto told = std::ranges::count_if(candidates, [&](const auto& id) { return status_of(change, id) != nullptr; });
+    const bool complete = told == static_cast<std::ptrdiff_t>(candidates.size());
+    const auto patience = needs_all_candidates(state, change) ? settings.catch_up_limit : settings.status_time;
+    const auto best = best_candidate(change, candidates);
+    if (best && (complete || spent >= patience)) {
+        const bool wait_for_it = change.record.planned && !has_caught_up(change, *best) && spent < settings.catch_up_limit;
+        if (!wait_for_it) {
+            change.target = *best;
+            enter(state, change, change_step::confirming, now);
+            watch_of(state, collection::fleet).next_list = now;
+        }
+        return;
+    }
+    if (best || spent < settings.catch_up_limit) {
+        return;
+    }
+    // No candidate answers. The old leader goes on if it still leads.
+    change.refused.clear();
+    const auto* status = status_of(change, old);
+    if (status != nullptr && status->is_primary && old_listed) {
+        publish(state, change, old, now);
+    } else {
+        change.statuses.clear();
+        change.step_began = now;
+    }
+}
+
+void confirm(session_host_state& state, leader_change& change, instant now) {
+    const auto& duty = state.coordination;
+    const auto& evidence = watch_of(state, collection::fleet).evidence;
+    const bool may_act = now - duty.took_over >= duty.settings.duty_right + duty.settings.duty_margin;
+    const bool confirmed =
+        evidence && *evidence >= change.step_began && now - *evidence < duty.settings.duty_right && holds_duty(state);
+    if (!may_act || !confirmed || now < change.not_before) {
+        // A confirmation that has become old while the host had to wait is asked for anew.
+        auto& fleet = watch_of(state, collection::fleet);
+        if (!confirmed && !fleet.listing) {
+            fleet.next_list = now;
+        }
+        return;
+    }
+    const promotion_call call{state.next_call++, change.record.database, change.target, state.settings.self.id,
+                              state.catalog.coordinator->record.fence};
+    change.call = call.id;
+    state.actions.emplace_back(call);
+    enter(state, change, change_step::promoting, now);
+}
+
+void await_leader(session_host_state& state, leader_change& change, instant now) {
+    ask_all(state, change, {change.target}, now);
+    const auto* status = status_of(change, change.target);
+    if (status != nullptr && status->is_primary) {
+        publish(state, change, change.target, now);
+    } else if (now - change.step_began >= state.coordination.settings.promote_time) {
+        change.statuses.clear();
+        enter(state, change, change_step::choosing, now);
+    }
+}
+
+void advance(session_host_state& state, leader_change& change, instant now) {
+    const auto& stored = state.catalog.leaders[change.record.database];
+    switch (change.step) {
+        case change_step::recording:
+            if (stored.record == change.record) {
+                change.recorded = now;
+                enter(state, change, change_step::closing, now);
+                closing_tick(state, now);
+            } else {
+                write_change(state, change, now);
+            }
+            break;
+        case change_step::closing:
+            if (is_closed(state, change, now)) {
+                change.statuses.clear();
+                change.questions.clear();
+                change.next_question = now;
+                enter(state, change, change_step::choosing, now);
+                choose(state, change, now);
+            }
+            break;
+        case change_step::choosing:
+            choose(state, change, now);
+            break;
+        case change_step::confirming:
+            confirm(state, change, now);
+            break;
+        case change_step::promoting:
+            break;
+        case change_step::awaiting:
+            await_leader(state, change, now);
+            break;
+        case change_step::publishing:
+            if (stored.record != change.record) {
+                write_change(state, change, now);
+            }
+            break;
+    }
+}
+
+bool is_published(const session_host_state& state, const leader_change& change) {
+    const auto stored = state.catalog.leaders.find(change.record.database);
+    return change.step == change_step::publishing && stored != state.catalog.leaders.end() &&
+           stored->second.record == change.record;
+}
+
+/// The only endpoint of the database that leads by its own view; nothing if none or several do.
+std::optional<endpoint_id> self_declared_primary(const session_host_state& state, const database_id& database) {
+    std::optional<endpoint_id> found;
+    for (const auto& [id, entry] : state.catalog.endpoints) {
+        if (entry.database == database && entry.is_primary) {
+            if (found) {
+                return std::nullopt;
+            }
+            found = id;
+        }
+    }
+    return found;
+}
+
+void start_change(session_host_state& state, const leader_record& record, const change_reason& reason, instant now) {
+    leader_change change;
+    change.record = record;
+    change.record.phase = leader_phase::changing;
+    change.record.planned = reason.planned;
+    ++change.record.round;
+    change.reason = reason.text;
+    enter(state, change, change_step::recording, now);
+    auto& stored = state.coordination.changes[record.database] = std::move(change);
+    write_change(state, stored, now);
+}
+
+void create_first_record(session_host_state& state, const database_id& database, instant now) {
+    const auto primary = self_declared_primary(state, database);
+    if (!primary) {
+        return;
+    }
+    leader_change change;
+    change.record = {database, *primary, leader_phase::serving, false, 1};
+    change.reason = "first";
+    change.target = *primary;
+    enter(state, change, change_step::publishing, now);
+    auto& stored = state.coordination.changes[database] = std::move(change);
+    write_change(state, stored, now);
+}
+
+}  // namespace
+
+const char* to_string(change_step step) {
+    switch (step) {
+        case change_step::recording:
+            return "recording";
+        case change_step::closing:
+            return "closing";
+        case change_step::choosing:
+            return "choosing";
+        case change_step::confirming:
+            return "confirming";
+        case change_step::promoting:
+            return "promoting";
+        case change_step::awaiting:
+            return "awaiting";
+        case change_step::publishing:
+            return "publishing";
+    }
+    return "?";
+}
+
+const char* to_string(promotion_status status) {
+    switch (status) {
+        case promotion_status::accepted:
+            return "accepted";
+        case promotion_status::refused:
+            return "refused";
+        case promotion_status::not_done:
+            return "not_done";
+        case promotion_status::no_answer:
+            return "no_answer";
+    }
+    return "?";
+}
+
+void leaders_tick(session_host_state& state, instant now) {
+    auto& duty = state.coordination;
+    const bool away = !watch_of(state, collection::endpoints).reachable;
+    if (duty.store_was_away && !away) {
+        duty.store_returned = now;
+    }
+    duty.store_was_away = away;
+    if (!duty.is_coordinator || !watch_of(state, collection::endpoints).listed) {
+        return;
+    }
+    for (const auto& group : state.catalog.content->databases) {
+        const auto stored = state.catalog.leaders.find(group.id);
+        const bool known = stored != state.catalog.leaders.end() && stored->second.revision > 0;
+        if (duty.changes.contains(group.id)) {
+            continue;
+        }
+        if (!known) {
+            create_first_record(state, group.id, now);
+        } else if (stored->second.record.phase == leader_phase::changing) {
+            // A predecessor left the change unfinished. The record is written anew, so that it cannot finish it any more.
+            start_change(state, stored->second.record, {"resumed", stored->second.record.planned}, now);
+        } else if (const auto reason = reason_to_change(state, stored->second.record, now)) {
+            start_change(state, stored->second.record, *reason, now);
+        }
+    }
+    for (auto& [database, change] : duty.changes) {
+        advance(state, change, now);
+    }
+    std::erase_if(duty.changes,
+                  [&](const auto& item) { return item.second.abandoned || is_published(state, item.second); });
+}
+
+void receive_promotion_answer(session_host_state& state, const promotion_answer& answer, instant now) {
+    auto& duty = state.coordination;
+    for (auto& [database, change] : duty.changes) {
+        if (change.call != answer.id) {
+            continue;
+        }
+        change.call.reset();
+        log_decision(state, "promotion_answered", "database=" + database + " target=" + change.target + " status=" +
+                                                      to_string(answer.status));
+        if (answer.status == promotion_status::accepted) {
+            change.statuses.clear();
+            enter(state, change, change_step::awaiting, now);
+        } else if (answer.status == promotion_status::refused) {
+            change.refused.insert(change.target);
+            change.target.clear();
+            change.statuses.clear();
+            enter(state, change, change_step::choosing, now);
+        } else {
+            change.not_before = now + duty.settings.retry_interval;
+            enter(state, change, change_step::confirming, now);
+        }
+    }
+}
+
+bool receive_status_result(session_host_state& state, const run_result& result, instant now) {
+    auto& duty = state.coordination;
+    const auto question = duty.questions.find(result.id);
+    if (question == duty.questions.end()) {
+        return false;
+    }
+    const auto [database, endpoint] = question->second;
+    duty.questions.erase(question);
+    const auto change = duty.changes.find(database);
+    if (change == duty.changes.end()) {
+        return true;
+    }
+    const auto asked = change->second.questions.find(endpoint);
+    if (asked == change->second.questions.end() || asked->second.run != result.id) {
+        return true;
+    }
+    change->second.questions.erase(asked);
+    if (result.status) {
+        change->second.statuses[endpoint] = {*result.status, now};
+        log_decision(state, "endpoint_status",
+                     "endpoint=" + endpoint + " primary=" + (result.status->is_primary ? "yes" : "no") +
+                         " term=" + std::to_string(result.status->term) + " received=" +
+                         std::to_string(result.status->received.term) + "." + std::to_string(result.status->received.index));
+    }
+    leaders_tick(state, now);
+    return true;
+}
+
+}  // namespace camphorstack
--- a/src/camphorstack/document/document.hpp
+++ b/src/camphorstack/document/document.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "camphorstack/support/clock.hpp"
 #include "camphorstack/support/ids.hpp"
 
 namespace camphorstack {
@@ -23,18 +24,41 @@
 struct workspace {
     workspace_id id;
     std::vector<key_hash> keys;
-    std::int64_t rate_per_s = 0;  ///< Requests per second over all hosts together.
-    std::int64_t burst = 0;       ///< Requests above the rate that may run at once, over all hosts together.
+    std::int64_t rate_per_s = 0;         ///< Requests per second over all hosts together.
+    std::int64_t burst = 0;              ///< Requests above the rate that may run at once, over all hosts together.
+    std::vector<std::string> regions{};  ///< Where its requests may run; empty means everywhere.
 
     friend bool operator==(const workspace&, const workspace&) = default;
 };
 
+/// What a read must have seen.
+enum class consistency : std::uint8_t {
+    primary,            ///< Every acknowledged write.
+    bounded_staleness,  ///< Writes acknowledged longer ago than the route's bound.
+    read_your_writes,   ///< The same, and every write of the own session.
+};
+
+/// How sessions on a route are served. Routes that are used through single requests leave it as it is.
+struct session_policy {
+    std::string database;  ///< Name that callers connect to; empty for a route without sessions.
+    consistency reads = consistency::primary;
+    millis max_staleness{0};  ///< Of the two weaker kinds of reads.
+    millis statement_timeout{0};
+    millis target_latency{0};  ///< Of a whole operation.
+    int priority = 0;          ///< 0 is the highest.
+    bool needs_key = true;
+    std::vector<std::string> regions{};  ///< Where its requests may run; empty means everywhere.
+
+    friend bool operator==(const session_policy&, const session_policy&) = default;
+};
+
 /// Lets workspaces reach the databases of one service.
 struct route {
     route_id id;
     std::string service;
     std::vector<workspace_id> workspaces;
     workspace_id open_workspace;  ///< When not empty, reads need no key and are charged to this workspace.
+    session_policy sessions{};
 
     friend bool operator==(const route&, const route&) = default;
 };
@@ -64,6 +88,8 @@
     database_id id;
     std::string service;
     std::vector<endpoint> endpoints;
+    int connections_per_endpoint = 0;  ///< Each endpoint accepts this many from all hosts together; 0 if endpoints tell it.
+    int synchronous_replicas = 0;      ///< Replicas that have received a write before the primary acknowledges it.
 
     friend bool operator==(const database&, const database&) = default;
 };
@@ -75,6 +101,7 @@
     std::vector<route> routes;              ///< Section tenancy.
     std::vector<data_centre> data_centres;  ///< Section data_centres.
     std::vector<database> databases;        ///< Section databases.
+    millis transaction_idle_limit{0};       ///< An idle transaction may be ended after this time; 0 means never.
 
     friend bool operator==(const document&, const document&) = default;
 };
--- /dev/null
+++ b/src/camphorstack/executors/connection_setup.cpp
@@ -0,0 +1,57 @@
+#include "camphorstack/executors/connection_setup.hpp"
+
+#include <algorithm>
+
+namespace camphorstack {
+
+namespace {
+
+const std::string* find_value(const std::vector<session_value>& values, const std::string& name) {
+    const auto found = std::ranges::find(values, name, &session_value::name);
+    return found == values.end() ? nullptr : &found->value;
+}
+
+}  // namespace
+
+std::string prepared_name(const prepared_shape& shape) {
+    return (shape.writes ? "w_" : "r_") + shape.shape;
+}
+
+bool has_values(const executor_connection& connection, const std::vector<session_value>& values) {
+    return connection.values.size() == values.size() && std::ranges::all_of(values, [&](const session_value& wanted) {
+               const auto found = connection.values.find(wanted.name);
+               return found != connection.values.end() && found->second == wanted.value;
+           });
+}
+
+std::vector<endpoint_statement> set_up(executor_connection& connection, const run_request& request, std::size_t prepared_limit) {
+    std::vector<endpoint_statement> statements;
+    const bool foreign = std::ranges::any_of(connection.values, [&](const auto& entry) {
+        return find_value(request.values, entry.first) == nullptr;
+    });
+    const bool crowded = request.prepared && connection.prepared.size() >= prepared_limit &&
+                         !connection.prepared.contains(prepared_name(*request.prepared));
+    // A reset would end the transaction. A session's values only grow or change inside of its own one, so nothing is foreign there.
+    const bool in_transaction = request.transaction != 0 && request.start == transaction_start::none;
+    if ((foreign || crowded) && !in_transaction) {
+        statements.push_back({endpoint_command::reset, "", "", "", false, {}});
+        connection.values.clear();
+        connection.prepared.clear();
+    }
+    for (const auto& wanted : request.values) {
+        const auto held = connection.values.find(wanted.name);
+        if (held == connection.values.end() || held->second != wanted.value) {
+            statements.push_back({endpoint_command::set_value, "", wanted.value, wanted.name, false, {}});
+            connection.values[wanted.name] = wanted.value;
+        }
+    }
+    if (request.prepared) {
+        const auto name = prepared_name(*request.prepared);
+        if (connection.prepared.insert(name).second) {
+            statements.push_back({endpoint_command::prepare, "", request.prepared->shape, name, request.prepared->writes, {}});
+        }
+    }
+    return statements;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -0,0 +1,250 @@
+#include "camphorstack/executors/dispatch_runs.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphorstack/executors/connection_setup.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+std::size_t room_in_flight(const executor_state& state, const endpoint_executor& endpoint) {
+    return static_cast<std::size_t>(std::max(1, endpoint.entry.slots) + state.settings.extra_in_flight);
+}
+
+std::size_t count_opening(const executor_state& state, const endpoint_executor& endpoint, const workspace_id* workspace) {
+    return static_cast<std::size_t>(std::ranges::count_if(endpoint.connections, [&](connection_id id) {
+        const auto& connection = state.connections.at(id);
+        return connection.stage == connection_stage::opening && (workspace == nullptr || connection.workspace == *workspace);
+    }));
+}
+
+/// The idle connection that needs the fewest statements before the run; null if there is none.
+executor_connection* find_idle(executor_state& state, const endpoint_executor& endpoint, const run_request& request) {
+    executor_connection* best = nullptr;
+    int best_score = -1;
+    for (const auto id : endpoint.connections) {
+        auto& connection = state.connections.at(id);
+        if (connection.stage != connection_stage::idle || connection.transaction) {
+            continue;
+        }
+        if (request.kind == run_kind::status) {
+            return &connection;
+        }
+        if (connection.workspace != request.workspace) {
+            continue;
+        }
+        const bool prepared = !request.prepared || connection.prepared.contains(prepared_name(*request.prepared));
+        const int score = (has_values(connection, request.values) ? 2 : 0) + (prepared ? 1 : 0);
+        if (score > best_score) {
+            best = &connection;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+/// The idle connection of another workspace that has been idle longest.
+std::optional<connection_id> find_replaceable(const executor_state& state, const endpoint_executor& endpoint,
+                                              const workspace_id& workspace) {
+    std::optional<connection_id> found;
+    for (const auto id : endpoint.connections) {
+        const auto& connection = state.connections.at(id);
+        const bool idle = connection.stage == connection_stage::idle && !connection.transaction;
+        if (idle && connection.workspace != workspace && (!found || connection.since < state.connections.at(*found).since)) {
+            found = id;
+        }
+    }
+    return found;
+}
+
+void open_connection_for(executor_state& state, endpoint_executor& endpoint, const workspace_id& workspace, instant now) {
+    if (now < endpoint.not_before) {
+        return;
+    }
+    if (endpoint.connections.size() >= endpoint.connection_limit) {
+        const auto replaced = find_replaceable(state, endpoint, workspace);
+        if (!replaced) {
+            return;
+        }
+        drop_connection(state, *replaced);
+    }
+    const auto id = state.next_connection++;
+    executor_connection connection;
+    connection.id = id;
+    connection.endpoint = endpoint.entry.id;
+    connection.workspace = workspace;
+    connection.since = now;
+    state.connections.emplace(id, std::move(connection));
+    endpoint.connections.insert(id);
+    if (!endpoint.unanswered_since) {
+        endpoint.unanswered_since = now;
+    }
+    state.actions.emplace_back(
+        open_endpoint_session{id, endpoint.entry.id, endpoint.entry.database, endpoint.entry.address, workspace});
+}
+
+void start_on(executor_state& state, endpoint_executor& endpoint, executor_connection& connection, waiting_run run, instant now) {
+    if (!endpoint.unanswered_since) {
+        endpoint.unanswered_since = now;
+    }
+    const auto& request = run.request;
+    connection.since = now;
+    connection.setup_failed = false;
+    if (request.start == transaction_start::none) {
+        connection.run = std::move(run);
+        send_run(state, connection, now);
+        return;
+    }
+    connection.transaction = transaction_key{run.origin, request.transaction};
+    connection.round = request.round;
+    connection.end_wanted = false;
+    state.transactions[*connection.transaction] = connection.id;
+    auto statements = set_up(connection, request, state.settings.prepared_limit);
+    connection.setup_replies = statements.size();
+    connection.stage = connection_stage::beginning;
+    const auto begin =
+        request.start == transaction_start::plain ? endpoint_command::begin : endpoint_command::begin_read_only;
+    statements.push_back({begin, "", "", "", false, request.after});
+    connection.run = std::move(run);
+    state.actions.emplace_back(send_endpoint_statements{connection.id, std::move(statements)});
+}
+
+/// Tries to start one queued run. True if it has left the queue.
+bool try_start(executor_state& state, endpoint_executor& endpoint, waiting_run& run, instant now) {
+    const auto& request = run.request;
+    if (!has_right(endpoint, request, now)) {
+        refuse_run(state, endpoint, run, result_code::busy, "this host may not use the endpoint as the primary now");
+        return true;
+    }
+    if (request.transaction != 0 && request.start == transaction_start::none) {
+        const auto open = state.transactions.find({run.origin, request.transaction});
+        if (open == state.transactions.end()) {
+            refuse_run(state, endpoint, run, result_code::aborted, "the transaction is no longer open");
+            return true;
+        }
+        auto& connection = state.connections.at(open->second);
+        if (connection.stage != connection_stage::idle) {
+            return false;
+        }
+        start_on(state, endpoint, connection, std::move(run), now);
+        return true;
+    }
+    if (runs_in_flight(state, endpoint) >= room_in_flight(state, endpoint)) {
+        return false;
+    }
+    if (auto* connection = find_idle(state, endpoint, request); connection != nullptr) {
+        start_on(state, endpoint, *connection, std::move(run), now);
+        return true;
+    }
+    return false;
+}
+
+/// Opens connections for workspaces whose runs have none, while the endpoint has room for what they would carry.
+void open_missing(executor_state& state, endpoint_executor& endpoint, instant now) {
+    std::map<workspace_id, std::size_t> wanted;
+    auto expected = runs_in_flight(state, endpoint) + count_opening(state, endpoint, nullptr);
+    for (const auto& run : endpoint.queue) {
+        const bool needs_connection = run.request.transaction == 0 || run.request.start != transaction_start::none;
+        if (!needs_connection || ++wanted[run.request.workspace] <= count_opening(state, endpoint, &run.request.workspace)) {
+            continue;
+        }
+        if (expected >= room_in_flight(state, endpoint)) {
+            return;
+        }
+        open_connection_for(state, endpoint, run.request.workspace, now);
+        ++expected;
+    }
+}
+
+}  // namespace
+
+std::size_t runs_in_flight(const executor_state& state, const endpoint_executor& endpoint) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        endpoint.connections, [&](connection_id id) { return state.connections.at(id).run.has_value(); }));
+}
+
+bool has_right(const endpoint_executor& endpoint, const run_request& request, instant now) {
+    if (request.round == 0) {
+        return true;
+    }
+    const auto& right = endpoint.right;
+    const bool held = right && right->round == request.round && now < right->until;
+    const bool continues = request.transaction != 0 && request.start == transaction_start::none;
+    return held && (!right->closing || continues);
+}
+
+void send_run(executor_state& state, executor_connection& connection, instant now) {
+    const auto& request = connection.run->request;
+    connection.stage = connection_stage::running;
+    connection.since = now;
+    if (request.kind == run_kind::status) {
+        connection.setup_replies = 0;
+        state.actions.emplace_back(
+            send_endpoint_statements{connection.id, {{endpoint_command::status, "", "", "", false, {}}}});
+        return;
+    }
+    auto statements = set_up(connection, request, state.settings.prepared_limit);
+    connection.setup_replies = statements.size();
+    // The beginning of a transaction has checked the position already.
+    const auto after = request.transaction == 0 ? request.after : std::nullopt;
+    if (request.prepared) {
+        statements.push_back(
+            {endpoint_command::execute, request.statement_id, request.text, prepared_name(*request.prepared), false, after});
+    } else {
+        statements.push_back({endpoint_command::statement, request.statement_id, request.text, "", false, after});
+    }
+    state.actions.emplace_back(send_endpoint_statements{connection.id, std::move(statements)});
+}
+
+void dispatch_runs(executor_state& state, endpoint_executor& endpoint, instant now) {
+    // Statements of open transactions go first: they hold a connection. Then by priority, and in order of arrival.
+    std::ranges::stable_sort(endpoint.queue, {}, [](const waiting_run& run) {
+        const bool continues = run.request.transaction != 0 && run.request.start == transaction_start::none;
+        return std::pair(continues ? 0 : 1, run.request.priority);
+    });
+    auto waiting = std::exchange(endpoint.queue, {});
+    std::deque<waiting_run> left;
+    for (auto& run : waiting) {
+        if (!try_start(state, endpoint, run, now)) {
+            left.push_back(std::move(run));
+        }
+    }
+    endpoint.queue = std::move(left);
+    open_missing(state, endpoint, now);
+}
+
+void finish_run(executor_state& state, const endpoint_executor& endpoint, const waiting_run& run, run_result result) {
+    result.id = run.request.id;
+    result.wait = estimated_wait(state, endpoint);
+    result.transaction_open =
+        run.request.transaction != 0 && state.transactions.contains({run.origin, run.request.transaction});
+    state.results.push_back({run.origin, std::move(result)});
+}
+
+void refuse_run(executor_state& state, const endpoint_executor& endpoint, const waiting_run& run, result_code code,
+                const char* reason) {
+    run_result result;
+    result.outcome = run_outcome::not_run;
+    result.code = code;
+    result.text = reason;
+    finish_run(state, endpoint, run, std::move(result));
+}
+
+void drop_connection(executor_state& state, connection_id id) {
+    const auto found = state.connections.find(id);
+    if (found == state.connections.end()) {
+        return;
+    }
+    if (found->second.transaction) {
+        state.transactions.erase(*found->second.transaction);
+    }
+    if (const auto endpoint = state.endpoints.find(found->second.endpoint); endpoint != state.endpoints.end()) {
+        endpoint->second.connections.erase(id);
+    }
+    state.actions.emplace_back(close_endpoint_session{id});
+    state.connections.erase(found);
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/executors/executor.cpp
@@ -0,0 +1,459 @@
+#include "camphorstack/executors/executor.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+#include "camphorstack/executors/dispatch_runs.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+/// Weight of the newest answer in the mean time of service.
+constexpr double newest_weight = 0.1;
+
+endpoint_executor* find_endpoint(executor_state& state, const endpoint_id& id) {
+    const auto found = state.endpoints.find(id);
+    return found == state.endpoints.end() ? nullptr : &found->second;
+}
+
+void become_idle(executor_connection& connection, instant now) {
+    connection.stage = connection_stage::idle;
+    connection.since = now;
+    connection.run.reset();
+}
+
+void unpin(executor_state& state, executor_connection& connection) {
+    if (connection.transaction) {
+        state.transactions.erase(*connection.transaction);
+        connection.transaction.reset();
+    }
+    connection.round = 0;
+    connection.end_wanted = false;
+}
+
+void roll_back(executor_state& state, executor_connection& connection, instant now) {
+    unpin(state, connection);
+    connection.run.reset();
+    connection.stage = connection_stage::rolling_back;
+    connection.since = now;
+    connection.setup_replies = 0;
+    state.actions.emplace_back(send_endpoint_statements{connection.id, {{endpoint_command::rollback, "", "", "", false, {}}}});
+}
+
+/// What is known of a run whose connection ended before its answer.
+run_result result_without_answer(const executor_connection& connection, result_code code, const char* reason) {
+    run_result result;
+    result.text = reason;
+    const auto& request = connection.run->request;
+    if (connection.stage != connection_stage::running) {
+        result.outcome = run_outcome::not_run;
+        result.code = result_code::busy;
+        return result;
+    }
+    result.outcome = run_outcome::lost;
+    const bool may_take_effect =
+        request.kind == run_kind::commit || (request.kind == run_kind::write && request.transaction == 0);
+    if (may_take_effect) {
+        result.code = result_code::in_doubt;
+    } else if (request.transaction != 0) {
+        // The endpoint rolls back what its connection leaves open, and no commit was sent.
+        result.code = result_code::aborted;
+    } else {
+        result.code = code;
+    }
+    return result;
+}
+
+void end_connection(executor_state& state, connection_id id, result_code code, const char* reason) {
+    auto& connection = state.connections.at(id);
+    auto run = std::exchange(connection.run, std::nullopt);
+    std::optional<run_result> result;
+    if (run) {
+        connection.run = run;
+        result = result_without_answer(connection, code, reason);
+    }
+    const auto endpoint = connection.endpoint;
+    drop_connection(state, id);
+    if (auto* owner = find_endpoint(state, endpoint); owner != nullptr && run) {
+        finish_run(state, *owner, *run, std::move(*result));
+    }
+}
+
+void note_answer(executor_state& state, endpoint_executor& endpoint, instant now) {
+    endpoint.last_answer = now;
+    endpoint.refusals = 0;
+    const bool waiting = std::ranges::any_of(endpoint.connections, [&](connection_id id) {
+        const auto stage = state.connections.at(id).stage;
+        return stage != connection_stage::idle;
+    });
+    endpoint.unanswered_since = waiting ? std::optional(now) : std::nullopt;
+}
+
+void note_service(const executor_state& state, endpoint_executor& endpoint, millis in_flight_time) {
+    const auto slots = std::max(1, endpoint.entry.slots);
+    const auto in_flight = std::max<std::size_t>(runs_in_flight(state, endpoint), 1);
+    // Statements beyond the slots wait at the endpoint, so their time is shared.
+    const double share = std::min(1.0, static_cast<double>(slots) / static_cast<double>(in_flight));
+    const double service = static_cast<double>(in_flight_time.count) * share;
+    endpoint.mean_service_ms += newest_weight * (service - endpoint.mean_service_ms);
+}
+
+/// A success that counts only while the right of its round lasts: an endpoint that was replaced may still answer.
+bool is_too_late(const executor_state& state, const endpoint_executor& endpoint, const run_request& request, instant now) {
+    const bool takes_effect =
+        request.kind == run_kind::commit || (request.kind == run_kind::write && request.transaction == 0);
+    if (!takes_effect || request.round == 0) {
+        return false;
+    }
+    const auto& right = endpoint.right;
+    return !right || right->round != request.round || now >= right->until + state.settings.late_answer_tolerance;
+}
+
+/// Errors with which an endpoint says that the statement had no effect.
+bool says_not_run(result_code code) {
+    return code == result_code::busy || code == result_code::lagging || code == result_code::read_only ||
+           code == result_code::no_statement || code == result_code::misrouted || code == result_code::too_many;
+}
+
+run_result result_of(const endpoint_executor& endpoint, const run_request& request, const endpoint_reply& reply) {
+    run_result result;
+    result.outcome = reply.code == result_code::none   ? run_outcome::done
+                     : says_not_run(reply.code) ? run_outcome::not_run
+                                                       : run_outcome::failed;
+    result.code = reply.code;
+    result.text = reply.text;
+    result.rows = reply.rows;
+    result.proof = reply.proof;
+    result.state = reply.state;
+    result.position = reply.position;
+    result.status = reply.status;
+    // Inside of a transaction an endpoint may name the position of the transaction's beginning.
+    const bool own_statement = request.transaction == 0 || request.kind == run_kind::commit;
+    const bool from_leader = request.round != 0 && endpoint.right && endpoint.right->round == request.round;
+    result.round = own_statement && from_leader && reply.state == session_state::idle ? request.round : 0;
+    return result;
+}
+
+void finish_statement(executor_state& state, endpoint_executor& endpoint, executor_connection& connection,
+                      const endpoint_reply& reply, instant now) {
+    const auto run = std::move(*std::exchange(connection.run, std::nullopt));
+    const auto& request = run.request;
+    if (request.kind != run_kind::status) {
+        note_service(state, endpoint, now - connection.since);
+    }
+    auto result = result_of(endpoint, request, reply);
+    if (reply.code == result_code::no_statement) {
+        // The endpoint has forgotten what was prepared.
+        connection.prepared.clear();
+    }
+    if (is_too_late(state, endpoint, request, now) && result.outcome == run_outcome::done) {
+        result = run_result{};
+        result.outcome = run_outcome::lost;
+        result.code = result_code::in_doubt;
+        result.text = "the endpoint answered after it was replaced as the primary";
+    }
+    const bool ended = request.transaction != 0 && reply.state == session_state::idle;
+    const bool to_roll_back = reply.state == session_state::failed || (connection.end_wanted && !ended) ||
+                              (request.transaction == 0 && reply.state != session_state::idle);
+    become_idle(connection, now);
+    if (to_roll_back) {
+        roll_back(state, connection, now);
+    } else if (ended || request.transaction == 0) {
+        unpin(state, connection);
+    }
+    finish_run(state, endpoint, run, std::move(result));
+}
+
+void finish_beginning(executor_state& state, endpoint_executor& endpoint, executor_connection& connection,
+                      const endpoint_reply& reply, instant now) {
+    if (reply.code == result_code::none && !connection.end_wanted && has_right(endpoint, connection.run->request, now)) {
+        send_run(state, connection, now);
+        return;
+    }
+    const auto run = std::move(*std::exchange(connection.run, std::nullopt));
+    run_result result;
+    result.outcome = run_outcome::not_run;
+    result.code = reply.code == result_code::none ? result_code::busy : reply.code;
+    result.text = reply.code == result_code::none ? "the transaction's right has ended" : reply.text;
+    result.position = reply.position;
+    if (reply.state == session_state::idle) {
+        become_idle(connection, now);
+        unpin(state, connection);
+    } else {
+        roll_back(state, connection, now);
+    }
+    finish_run(state, endpoint, run, std::move(result));
+}
+
+/// A connection whose own statement was refused may have other session values than recorded.
+void fail_setup(executor_state& state, const executor_connection& connection) {
+    end_connection(state, connection.id, result_code::busy, "the endpoint refused a session value or a prepared statement");
+}
+
+void refuse_queue(executor_state& state, endpoint_executor& endpoint, const std::function<bool(const waiting_run&)>& matches,
+                  const char* reason) {
+    auto waiting = std::exchange(endpoint.queue, {});
+    for (auto& run : waiting) {
+        if (matches(run)) {
+            refuse_run(state, endpoint, run, result_code::busy, reason);
+        } else {
+            endpoint.queue.push_back(std::move(run));
+        }
+    }
+}
+
+/// Ends transactions and statements that rest on a right that is gone.
+void end_leader_work(executor_state& state, endpoint_executor& endpoint, leader_round kept) {
+    refuse_queue(
+        state, endpoint, [kept](const waiting_run& run) { return run.request.round != 0 && run.request.round != kept; },
+        "the endpoint is no longer the primary");
+    const auto ids = endpoint.connections;
+    for (const auto id : ids) {
+        const auto& connection = state.connections.at(id);
+        const bool open = connection.transaction && connection.round != 0 && connection.round != kept;
+        const bool in_flight = connection.run && connection.run->request.round != 0 && connection.run->request.round != kept;
+        if (open || in_flight) {
+            end_connection(state, id, result_code::failed, "the endpoint is no longer the primary");
+        }
+    }
+}
+
+bool is_over(const executor_state& state, const executor_connection& connection, instant now) {
+    const auto spent = now - connection.since;
+    switch (connection.stage) {
+        case connection_stage::opening:
+            return spent >= state.settings.connect_timeout;
+        case connection_stage::beginning:
+        case connection_stage::rolling_back:
+            return spent >= state.settings.begin_timeout;
+        case connection_stage::running:
+            return spent >= connection.run->request.statement_timeout;
+        case connection_stage::idle:
+            return false;
+    }
+    return false;
+}
+
+void tick_endpoint(executor_state& state, endpoint_executor& endpoint, instant now) {
+    const auto ids = endpoint.connections;
+    for (const auto id : ids) {
+        const auto& connection = state.connections.at(id);
+        if (is_over(state, connection, now)) {
+            end_connection(state, id, result_code::timeout, "the endpoint did not answer in time");
+        }
+    }
+    auto waiting = std::exchange(endpoint.queue, {});
+    for (auto& run : waiting) {
+        if (now - run.arrived >= run.request.patience) {
+            refuse_run(state, endpoint, run, result_code::busy, "no slot or connection of the endpoint became free in time");
+        } else {
+            endpoint.queue.push_back(std::move(run));
+        }
+    }
+    dispatch_runs(state, endpoint, now);
+}
+
+}  // namespace
+
+void set_endpoints(executor_state& state, const std::map<endpoint_id, endpoint_share>& shares, instant now) {
+    for (auto& [id, endpoint] : state.endpoints) {
+        if (!shares.contains(id)) {
+            endpoint.connection_limit = 0;
+        }
+    }
+    for (const auto& [id, share] : shares) {
+        auto& endpoint = state.endpoints[id];
+        endpoint.entry = share.entry;
+        endpoint.connection_limit = share.connection_limit;
+    }
+    for (auto entry = state.endpoints.begin(); entry != state.endpoints.end();) {
+        auto& endpoint = entry->second;
+        const auto ids = endpoint.connections;
+        for (const auto id : ids) {
+            const auto& connection = state.connections.at(id);
+            const bool idle = connection.stage == connection_stage::idle && !connection.transaction;
+            if (idle && endpoint.connections.size() > endpoint.connection_limit) {
+                drop_connection(state, id);
+            }
+        }
+        if (endpoint.connection_limit == 0) {
+            refuse_queue(
+                state, endpoint, [](const waiting_run&) { return true; }, "the endpoint takes no new work");
+        }
+        const bool unused = !shares.contains(entry->first) && endpoint.connections.empty();
+        entry = unused ? state.endpoints.erase(entry) : std::next(entry);
+    }
+    for (auto& [id, endpoint] : state.endpoints) {
+        dispatch_runs(state, endpoint, now);
+    }
+}
+
+void set_leader_right(executor_state& state, const endpoint_id& endpoint, const std::optional<leader_right>& right, instant now) {
+    auto* found = find_endpoint(state, endpoint);
+    if (found == nullptr) {
+        return;
+    }
+    const bool ended = found->right && (!right || right->round != found->right->round);
+    found->right = right;
+    if (ended) {
+        end_leader_work(state, *found, right ? right->round : 0);
+    }
+    dispatch_runs(state, *found, now);
+}
+
+bool is_leader_work_done(const executor_state& state, const endpoint_id& endpoint) {
+    const auto found = state.endpoints.find(endpoint);
+    if (found == state.endpoints.end()) {
+        return true;
+    }
+    return std::ranges::none_of(found->second.connections, [&](connection_id id) {
+        const auto& connection = state.connections.at(id);
+        return (connection.transaction && connection.round != 0) || (connection.run && connection.run->request.round != 0);
+    });
+}
+
+void submit_run(executor_state& state, const host_id& origin, run_request request, instant now) {
+    waiting_run run{origin, std::move(request), now};
+    auto* endpoint = find_endpoint(state, run.request.endpoint);
+    if (endpoint == nullptr || endpoint->connection_limit == 0) {
+        const endpoint_executor none;
+        refuse_run(state, endpoint == nullptr ? none : *endpoint, run, result_code::misrouted,
+                   "this host does not use the endpoint");
+        return;
+    }
+    const bool continues = run.request.transaction != 0 && run.request.start == transaction_start::none;
+    if (!continues && run.request.kind != run_kind::status && estimated_wait(state, *endpoint) > run.request.patience) {
+        refuse_run(state, *endpoint, run, result_code::busy, "the endpoint's queue is too long");
+        return;
+    }
+    endpoint->queue.push_back(std::move(run));
+    dispatch_runs(state, *endpoint, now);
+}
+
+void end_transaction(executor_state& state, const transaction_key& transaction, instant now) {
+    for (auto& [id, endpoint] : state.endpoints) {
+        std::erase_if(endpoint.queue, [&](const waiting_run& run) {
+            return run.origin == transaction.origin && run.request.transaction == transaction.number;
+        });
+    }
+    const auto found = state.transactions.find(transaction);
+    if (found == state.transactions.end()) {
+        return;
+    }
+    auto& connection = state.connections.at(found->second);
+    if (connection.stage == connection_stage::idle) {
+        roll_back(state, connection, now);
+    } else {
+        connection.end_wanted = true;
+    }
+}
+
+void drop_origin(executor_state& state, const host_id& origin, instant now) {
+    for (auto& [id, endpoint] : state.endpoints) {
+        std::erase_if(endpoint.queue, [&](const waiting_run& run) { return run.origin == origin; });
+    }
+    std::vector<transaction_key> open;
+    for (const auto& [key, connection] : state.transactions) {
+        if (key.origin == origin) {
+            open.push_back(key);
+        }
+    }
+    for (const auto& key : open) {
+        end_transaction(state, key, now);
+    }
+}
+
+void on_session_opened(executor_state& state, const endpoint_session_opened& event, instant now) {
+    const auto found = state.connections.find(event.connection);
+    if (found == state.connections.end()) {
+        return;
+    }
+    become_idle(found->second, now);
+    auto& endpoint = state.endpoints.at(found->second.endpoint);
+    note_answer(state, endpoint, now);
+    dispatch_runs(state, endpoint, now);
+}
+
+void on_session_ended(executor_state& state, const endpoint_session_ended& event, instant now) {
+    const auto found = state.connections.find(event.connection);
+    if (found == state.connections.end()) {
+        return;
+    }
+    const auto id = found->second.endpoint;
+    const bool was_opening = found->second.stage == connection_stage::opening;
+    end_connection(state, event.connection, result_code::failed, "the connection to the endpoint broke");
+    auto* endpoint = find_endpoint(state, id);
+    if (endpoint == nullptr) {
+        return;
+    }
+    if (was_opening) {
+        endpoint->not_before = now + state.settings.reconnect_interval;
+        endpoint->refusals += event.refused ? 1 : 0;
+    }
+    if (endpoint->connections.empty()) {
+        endpoint->unanswered_since.reset();
+    }
+    if (event.code == result_code::misrouted) {
+        refuse_queue(
+            state, *endpoint, [](const waiting_run&) { return true; }, "the endpoint's address belongs to another one");
+    }
+    dispatch_runs(state, *endpoint, now);
+}
+
+void on_session_replied(executor_state& state, const endpoint_session_replied& event, instant now) {
+    const auto found = state.connections.find(event.connection);
+    if (found == state.connections.end()) {
+        return;
+    }
+    auto& connection = found->second;
+    auto& endpoint = state.endpoints.at(connection.endpoint);
+    if (connection.setup_replies > 0) {
+        --connection.setup_replies;
+        connection.setup_failed = connection.setup_failed || event.reply.code != result_code::none;
+        note_answer(state, endpoint, now);
+        return;
+    }
+    if (connection.setup_failed) {
+        fail_setup(state, connection);
+    } else if (connection.stage == connection_stage::beginning) {
+        finish_beginning(state, endpoint, connection, event.reply, now);
+    } else if (connection.stage == connection_stage::running) {
+        finish_statement(state, endpoint, connection, event.reply, now);
+    } else {
+        become_idle(connection, now);
+    }
+    note_answer(state, endpoint, now);
+    dispatch_runs(state, endpoint, now);
+}
+
+void executor_tick(executor_state& state, instant now) {
+    for (auto& [id, endpoint] : state.endpoints) {
+        tick_endpoint(state, endpoint, now);
+    }
+}
+
+millis estimated_wait(const executor_state& state, const endpoint_executor& endpoint) {
+    const auto slots = static_cast<double>(std::max(1, endpoint.entry.slots));
+    const auto ahead = static_cast<double>(endpoint.queue.size() + runs_in_flight(state, endpoint));
+    const double rounds = std::max(0.0, ahead - slots + 1) / slots;
+    return millis{static_cast<std::int64_t>(std::lround(rounds * endpoint.mean_service_ms))};
+}
+
+bool is_suspected(const executor_state& state, const endpoint_executor& endpoint, instant now) {
+    const bool silent =
+        endpoint.unanswered_since && now - *endpoint.unanswered_since >= state.settings.silence_limit;
+    return silent || endpoint.refusals >= state.settings.refusals_to_suspect;
+}
+
+std::size_t open_runs(const executor_state& state) {
+    std::size_t count = state.transactions.size();
+    for (const auto& [id, endpoint] : state.endpoints) {
+        count += endpoint.queue.size() + runs_in_flight(state, endpoint);
+    }
+    return count;
+}
+
+}  // namespace camphorstack
--- a/src/camphorstack/hosts/host.cpp
+++ b/src/camphorstack/hosts/host.cpp
@@ -93,6 +93,9 @@
         // Requests wait for a loan only for some milliseconds, so they are tried at once.
         entry_tick(this->state, this->now, this->actions);
     }
+    /// Messages between session hosts do not concern a host that serves single requests.
+    template <typename Body>
+    void operator()(const Body& /*body*/) const {}
 };
 
 void tick_host(host_state& state, instant now, host_actions& actions) {
--- a/src/camphorstack/hosts/peer_message.hpp
+++ b/src/camphorstack/hosts/peer_message.hpp
@@ -6,7 +6,9 @@
 #include <vector>
 
 #include "camphorstack/contracts/loan.hpp"
+#include "camphorstack/coordination/coordination_messages.hpp"
 #include "camphorstack/document/document.hpp"
+#include "camphorstack/executors/run.hpp"
 #include "camphorstack/hosts/member.hpp"
 #include "camphorstack/hosts/request.hpp"
 
@@ -92,7 +94,8 @@
 };
 
 using peer_body = std::variant<probe, probe_answer, relay_probe, relay_answer, document_request, document_reply, members_request,
-                               members_reply, forward_request, forward_reply, loan_request, loan_grant>;
+                               members_reply, forward_request, forward_reply, loan_request, loan_grant, run_request, run_result,
+                               transaction_left, membership_report, membership_answer, leader_closed>;
 
 struct peer_message {
     host_id from;
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -152,6 +152,93 @@
         return {wire::Body::LoanGrant, table.Union()};
     }
 
+    written_body operator()(const run_request& body) const {
+        const auto endpoint = this->out.CreateString(body.endpoint);
+        const auto workspace = this->out.CreateString(body.workspace);
+        const auto statement_id = this->out.CreateString(body.statement_id);
+        const auto text = this->out.CreateString(body.text);
+        const auto shape = this->out.CreateString(body.prepared ? body.prepared->shape : std::string());
+        std::vector<Offset<wire::SessionValue>> tables;
+        tables.reserve(body.values.size());
+        for (const auto& item : body.values) {
+            const auto name = this->out.CreateString(item.name);
+            const auto value = this->out.CreateString(item.value);
+            tables.push_back(wire::CreateSessionValue(this->out, name, value));
+        }
+        const auto values = this->out.CreateVector(tables);
+        wire::RunRequestBuilder table(this->out);
+        table.add_id(body.id);
+        table.add_endpoint(endpoint);
+        table.add_workspace(workspace);
+        table.add_kind(number(body.kind));
+        table.add_statement_id(statement_id);
+        table.add_text(text);
+        table.add_prepared_shape(shape);
+        table.add_is_prepared(body.prepared.has_value());
+        table.add_prepared_writes(body.prepared && body.prepared->writes);
+        table.add_has_after(body.after.has_value());
+        table.add_after_term(body.after ? body.after->term : 0);
+        table.add_after_index(body.after ? body.after->index : 0);
+        table.add_values(values);
+        table.add_transaction(body.transaction);
+        table.add_start(number(body.start));
+        table.add_round(body.round);
+        table.add_statement_timeout_ms(body.statement_timeout.count);
+        table.add_patience_ms(body.patience.count);
+        table.add_priority(body.priority);
+        return {wire::Body::RunRequest, table.Finish().Union()};
+    }
+
+    written_body operator()(const run_result& body) const {
+        const auto text = this->out.CreateString(body.text);
+        const auto rows = this->out.CreateVectorOfStrings(body.rows);
+        const auto proof = this->out.CreateString(body.proof);
+        wire::RunResultBuilder table(this->out);
+        table.add_id(body.id);
+        table.add_outcome(number(body.outcome));
+        table.add_code(number(body.code));
+        table.add_text(text);
+        table.add_rows(rows);
+        table.add_proof(proof);
+        table.add_state(number(body.state));
+        table.add_has_position(body.position.has_value());
+        table.add_position_term(body.position ? body.position->term : 0);
+        table.add_position_index(body.position ? body.position->index : 0);
+        table.add_round(body.round);
+        table.add_wait_ms(body.wait.count);
+        table.add_transaction_open(body.transaction_open);
+        if (body.status) {
+            table.add_has_status(true);
+            table.add_is_primary(body.status->is_primary);
+            table.add_status_term(body.status->term);
+            table.add_received_term(body.status->received.term);
+            table.add_received_index(body.status->received.index);
+            table.add_lag_ms(body.status->lag.count);
+        }
+        return {wire::Body::RunResult, table.Finish().Union()};
+    }
+
+    written_body operator()(const transaction_left& body) const {
+        return {wire::Body::TransactionLeft, wire::CreateTransactionLeft(this->out, body.transaction).Union()};
+    }
+
+    written_body operator()(const membership_report& body) const {
+        const auto host = write_member(this->out, body.host);
+        const auto nonce = this->out.CreateString(body.nonce);
+        const auto suspected = this->out.CreateVectorOfStrings(body.suspected);
+        const auto table = wire::CreateMembershipReport(this->out, host, nonce, number(body.stage), suspected);
+        return {wire::Body::MembershipReport, table.Union()};
+    }
+
+    written_body operator()(const membership_answer& body) const {
+        return {wire::Body::MembershipAnswer, wire::CreateMembershipAnswer(this->out, body.coordinates).Union()};
+    }
+
+    written_body operator()(const leader_closed& body) const {
+        const auto database = this->out.CreateString(body.database);
+        return {wire::Body::LeaderClosed, wire::CreateLeaderClosed(this->out, database, body.round).Union()};
+    }
+
 private:
     FlatBufferBuilder& out;
 };
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -148,6 +148,76 @@
     return forward_reply{std::move(reply)};
 }
 
+std::vector<std::string> peer_frame_reader::texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* values) {
+    std::vector<std::string> result;
+    if (values != nullptr) {
+        for (const auto* value : *values) {
+            result.push_back(this->text(value));
+        }
+    }
+    return result;
+}
+
+peer_body peer_frame_reader::read(const wire::RunRequest& table) {
+    run_request request;
+    request.id = table.id();
+    request.endpoint = this->text(table.endpoint());
+    request.workspace = this->text(table.workspace());
+    request.kind = checked_enum(table.kind(), run_kind::status);
+    request.statement_id = this->text(table.statement_id());
+    request.text = this->text(table.text());
+    if (table.is_prepared()) {
+        request.prepared = prepared_shape{this->text(table.prepared_shape()), table.prepared_writes()};
+    }
+    if (table.has_after()) {
+        request.after = log_position{table.after_term(), table.after_index()};
+    }
+    if (table.values() != nullptr) {
+        for (const wire::SessionValue* item : *table.values()) {
+            auto name = this->text(present(item).name());
+            request.values.push_back({std::move(name), this->text(item->value())});
+        }
+    }
+    request.transaction = table.transaction();
+    request.start = checked_enum(table.start(), transaction_start::read_only);
+    request.round = table.round();
+    request.statement_timeout = millis{not_negative(table.statement_timeout_ms())};
+    request.patience = millis{not_negative(table.patience_ms())};
+    request.priority = table.priority();
+    return request;
+}
+
+peer_body peer_frame_reader::read(const wire::RunResult& table) {
+    run_result result;
+    result.id = table.id();
+    result.outcome = checked_enum(table.outcome(), run_outcome::lost);
+    result.code = checked_enum(table.code(), result_code::malformed);
+    result.text = this->text(table.text());
+    result.rows = this->texts(table.rows());
+    result.proof = this->text(table.proof());
+    result.state = checked_enum(table.state(), session_state::failed);
+    if (table.has_position()) {
+        result.position = log_position{table.position_term(), table.position_index()};
+    }
+    result.round = table.round();
+    result.wait = millis{not_negative(table.wait_ms())};
+    result.transaction_open = table.transaction_open();
+    if (table.has_status()) {
+        result.status = endpoint_self_report{table.is_primary(), table.status_term(),
+                                        log_position{table.received_term(), table.received_index()}, millis{table.lag_ms()}};
+    }
+    return result;
+}
+
+peer_body peer_frame_reader::read(const wire::MembershipReport& table) {
+    membership_report report;
+    report.host = this->read_member(table.host());
+    report.nonce = this->text(table.nonce());
+    report.stage = checked_enum(table.stage(), host_stage::gone);
+    report.suspected = this->texts(table.suspected());
+    return report;
+}
+
 peer_body peer_frame_reader::read_body() {
     const wire::Frame& frame = *this->root;
     switch (frame.body_type()) {
@@ -189,6 +259,18 @@
                               not_negative(table.rate_per_s()),
                               millis{not_negative(table.duration_ms())}};
         }
+        case wire::Body::RunRequest:
+            return this->read(*frame.body_as_RunRequest());
+        case wire::Body::RunResult:
+            return this->read(*frame.body_as_RunResult());
+        case wire::Body::TransactionLeft:
+            return transaction_left{frame.body_as_TransactionLeft()->transaction()};
+        case wire::Body::MembershipReport:
+            return this->read(*frame.body_as_MembershipReport());
+        case wire::Body::MembershipAnswer:
+            return membership_answer{frame.body_as_MembershipAnswer()->coordinates()};
+        case wire::Body::LeaderClosed:
+            return leader_closed{this->text(frame.body_as_LeaderClosed()->database()), frame.body_as_LeaderClosed()->round()};
         case wire::Body::NONE:
             break;
     }
--- a/src/camphorstack/links/peer_frame_reader.hpp
+++ b/src/camphorstack/links/peer_frame_reader.hpp
@@ -29,6 +29,10 @@
     peer_body read(const wire::MembersReply& table);
     peer_body read(const wire::ForwardRequest& table);
     peer_body read(const wire::ForwardReply& table);
+    peer_body read(const wire::RunRequest& table);
+    peer_body read(const wire::RunResult& table);
+    peer_body read(const wire::MembershipReport& table);
+    std::vector<std::string> texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* values);
 
     /// Bytes of text that may still be read. Frames may let many offsets point to one string, which would multiply a small
     /// frame into a large message; text that the encoder wrote is never longer than its frame.
--- a/src/camphorstack/main.cpp
+++ b/src/camphorstack/main.cpp
@@ -5,10 +5,12 @@
 #include "camphorstack/cli/load.hpp"
 #include "camphorstack/cli/serve.hpp"
 #include "camphorstack/cli/status.hpp"
+#include "platform/serve_sessions.hpp"
 
 int main(int argc, char** argv) {
     using namespace camphorstack;
     const std::vector<command> commands{check_command(),   apply_command(), status_command(),
-                                        explain_command(), serve_command(), load_command()};
+                                        explain_command(), serve_command(), load_command(),
+                                        platform::serve_sessions_command()};
     return run_command_line(commands, {argv, argv + argc});
 }
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -62,6 +62,27 @@
 struct LoanGrant;
 struct LoanGrantBuilder;
 
+struct SessionValue;
+struct SessionValueBuilder;
+
+struct RunRequest;
+struct RunRequestBuilder;
+
+struct RunResult;
+struct RunResultBuilder;
+
+struct TransactionLeft;
+struct TransactionLeftBuilder;
+
+struct MembershipReport;
+struct MembershipReportBuilder;
+
+struct MembershipAnswer;
+struct MembershipAnswerBuilder;
+
+struct LeaderClosed;
+struct LeaderClosedBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -79,11 +100,17 @@
   ForwardReply = 10,
   LoanRequest = 11,
   LoanGrant = 12,
+  RunRequest = 13,
+  RunResult = 14,
+  TransactionLeft = 15,
+  MembershipReport = 16,
+  MembershipAnswer = 17,
+  LeaderClosed = 18,
   MIN = NONE,
-  MAX = LoanGrant
+  MAX = LeaderClosed
 };
 
-inline const Body (&EnumValuesBody())[13] {
+inline const Body (&EnumValuesBody())[19] {
   static const Body values[] = {
     Body::NONE,
     Body::Probe,
@@ -97,13 +124,19 @@
     Body::ForwardRequest,
     Body::ForwardReply,
     Body::LoanRequest,
-    Body::LoanGrant
+    Body::LoanGrant,
+    Body::RunRequest,
+    Body::RunResult,
+    Body::TransactionLeft,
+    Body::MembershipReport,
+    Body::MembershipAnswer,
+    Body::LeaderClosed
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[14] = {
+  static const char * const names[20] = {
     "NONE",
     "Probe",
     "ProbeAnswer",
@@ -117,13 +150,19 @@
     "ForwardReply",
     "LoanRequest",
     "LoanGrant",
+    "RunRequest",
+    "RunResult",
+    "TransactionLeft",
+    "MembershipReport",
+    "MembershipAnswer",
+    "LeaderClosed",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LoanGrant)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeaderClosed)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -180,6 +219,30 @@
   static const Body enum_value = Body::LoanGrant;
 };
 
+template<> struct BodyTraits<camphorstack::wire::RunRequest> {
+  static const Body enum_value = Body::RunRequest;
+};
+
+template<> struct BodyTraits<camphorstack::wire::RunResult> {
+  static const Body enum_value = Body::RunResult;
+};
+
+template<> struct BodyTraits<camphorstack::wire::TransactionLeft> {
+  static const Body enum_value = Body::TransactionLeft;
+};
+
+template<> struct BodyTraits<camphorstack::wire::MembershipReport> {
+  static const Body enum_value = Body::MembershipReport;
+};
+
+template<> struct BodyTraits<camphorstack::wire::MembershipAnswer> {
+  static const Body enum_value = Body::MembershipAnswer;
+};
+
+template<> struct BodyTraits<camphorstack::wire::LeaderClosed> {
+  static const Body enum_value = Body::LeaderClosed;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1585,6 +1648,899 @@
       duration_ms);
 }
 
+struct SessionValue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SessionValueBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_VALUE = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+};
+
+struct SessionValueBuilder {
+  typedef SessionValue Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(SessionValue::VT_NAME, name);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(SessionValue::VT_VALUE, value);
+  }
+  explicit SessionValueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SessionValue> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SessionValue>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SessionValue> CreateSessionValue(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  SessionValueBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct SessionValue::Traits {
+  using type = SessionValue;
+  static auto constexpr Create = CreateSessionValue;
+};
+
+inline flatbuffers::Offset<SessionValue> CreateSessionValueDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *value = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return camphorstack::wire::CreateSessionValue(
+      _fbb,
+      name__,
+      value__);
+}
+
+struct RunRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_ENDPOINT = 6,
+    VT_WORKSPACE = 8,
+    VT_KIND = 10,
+    VT_STATEMENT_ID = 12,
+    VT_TEXT = 14,
+    VT_PREPARED_SHAPE = 16,
+    VT_PREPARED_WRITES = 18,
+    VT_IS_PREPARED = 20,
+    VT_HAS_AFTER = 22,
+    VT_AFTER_TERM = 24,
+    VT_AFTER_INDEX = 26,
+    VT_VALUES = 28,
+    VT_TRANSACTION = 30,
+    VT_START = 32,
+    VT_ROUND = 34,
+    VT_STATEMENT_TIMEOUT_MS = 36,
+    VT_PATIENCE_MS = 38,
+    VT_PRIORITY = 40
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *statement_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_STATEMENT_ID);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  const flatbuffers::String *prepared_shape() const {
+    return GetPointer<const flatbuffers::String *>(VT_PREPARED_SHAPE);
+  }
+  bool prepared_writes() const {
+    return GetField<uint8_t>(VT_PREPARED_WRITES, 0) != 0;
+  }
+  bool is_prepared() const {
+    return GetField<uint8_t>(VT_IS_PREPARED, 0) != 0;
+  }
+  bool has_after() const {
+    return GetField<uint8_t>(VT_HAS_AFTER, 0) != 0;
+  }
+  uint64_t after_term() const {
+    return GetField<uint64_t>(VT_AFTER_TERM, 0);
+  }
+  uint64_t after_index() const {
+    return GetField<uint64_t>(VT_AFTER_INDEX, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::SessionValue>> *values() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::SessionValue>> *>(VT_VALUES);
+  }
+  uint64_t transaction() const {
+    return GetField<uint64_t>(VT_TRANSACTION, 0);
+  }
+  uint8_t start() const {
+    return GetField<uint8_t>(VT_START, 0);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  int64_t statement_timeout_ms() const {
+    return GetField<int64_t>(VT_STATEMENT_TIMEOUT_MS, 0);
+  }
+  int64_t patience_ms() const {
+    return GetField<int64_t>(VT_PATIENCE_MS, 0);
+  }
+  int32_t priority() const {
+    return GetField<int32_t>(VT_PRIORITY, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_STATEMENT_ID) &&
+           verifier.VerifyString(statement_id()) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           VerifyOffset(verifier, VT_PREPARED_SHAPE) &&
+           verifier.VerifyString(prepared_shape()) &&
+           VerifyField<uint8_t>(verifier, VT_PREPARED_WRITES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_PREPARED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_AFTER, 1) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER_INDEX, 8) &&
+           VerifyOffset(verifier, VT_VALUES) &&
+           verifier.VerifyVector(values()) &&
+           verifier.VerifyVectorOfTables(values()) &&
+           VerifyField<uint64_t>(verifier, VT_TRANSACTION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_START, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<int64_t>(verifier, VT_STATEMENT_TIMEOUT_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_PATIENCE_MS, 8) &&
+           VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunRequestBuilder {
+  typedef RunRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(RunRequest::VT_ID, id, 0);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(RunRequest::VT_ENDPOINT, endpoint);
+  }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(RunRequest::VT_WORKSPACE, workspace);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(RunRequest::VT_KIND, kind, 0);
+  }
+  void add_statement_id(flatbuffers::Offset<flatbuffers::String> statement_id) {
+    fbb_.AddOffset(RunRequest::VT_STATEMENT_ID, statement_id);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(RunRequest::VT_TEXT, text);
+  }
+  void add_prepared_shape(flatbuffers::Offset<flatbuffers::String> prepared_shape) {
+    fbb_.AddOffset(RunRequest::VT_PREPARED_SHAPE, prepared_shape);
+  }
+  void add_prepared_writes(bool prepared_writes) {
+    fbb_.AddElement<uint8_t>(RunRequest::VT_PREPARED_WRITES, static_cast<uint8_t>(prepared_writes), 0);
+  }
+  void add_is_prepared(bool is_prepared) {
+    fbb_.AddElement<uint8_t>(RunRequest::VT_IS_PREPARED, static_cast<uint8_t>(is_prepared), 0);
+  }
+  void add_has_after(bool has_after) {
+    fbb_.AddElement<uint8_t>(RunRequest::VT_HAS_AFTER, static_cast<uint8_t>(has_after), 0);
+  }
+  void add_after_term(uint64_t after_term) {
+    fbb_.AddElement<uint64_t>(RunRequest::VT_AFTER_TERM, after_term, 0);
+  }
+  void add_after_index(uint64_t after_index) {
+    fbb_.AddElement<uint64_t>(RunRequest::VT_AFTER_INDEX, after_index, 0);
+  }
+  void add_values(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::SessionValue>>> values) {
+    fbb_.AddOffset(RunRequest::VT_VALUES, values);
+  }
+  void add_transaction(uint64_t transaction) {
+    fbb_.AddElement<uint64_t>(RunRequest::VT_TRANSACTION, transaction, 0);
+  }
+  void add_start(uint8_t start) {
+    fbb_.AddElement<uint8_t>(RunRequest::VT_START, start, 0);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(RunRequest::VT_ROUND, round, 0);
+  }
+  void add_statement_timeout_ms(int64_t statement_timeout_ms) {
+    fbb_.AddElement<int64_t>(RunRequest::VT_STATEMENT_TIMEOUT_MS, statement_timeout_ms, 0);
+  }
+  void add_patience_ms(int64_t patience_ms) {
+    fbb_.AddElement<int64_t>(RunRequest::VT_PATIENCE_MS, patience_ms, 0);
+  }
+  void add_priority(int32_t priority) {
+    fbb_.AddElement<int32_t>(RunRequest::VT_PRIORITY, priority, 0);
+  }
+  explicit RunRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunRequest> CreateRunRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> statement_id = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    flatbuffers::Offset<flatbuffers::String> prepared_shape = 0,
+    bool prepared_writes = false,
+    bool is_prepared = false,
+    bool has_after = false,
+    uint64_t after_term = 0,
+    uint64_t after_index = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::SessionValue>>> values = 0,
+    uint64_t transaction = 0,
+    uint8_t start = 0,
+    uint64_t round = 0,
+    int64_t statement_timeout_ms = 0,
+    int64_t patience_ms = 0,
+    int32_t priority = 0) {
+  RunRequestBuilder builder_(_fbb);
+  builder_.add_patience_ms(patience_ms);
+  builder_.add_statement_timeout_ms(statement_timeout_ms);
+  builder_.add_round(round);
+  builder_.add_transaction(transaction);
+  builder_.add_after_index(after_index);
+  builder_.add_after_term(after_term);
+  builder_.add_id(id);
+  builder_.add_priority(priority);
+  builder_.add_values(values);
+  builder_.add_prepared_shape(prepared_shape);
+  builder_.add_text(text);
+  builder_.add_statement_id(statement_id);
+  builder_.add_workspace(workspace);
+  builder_.add_endpoint(endpoint);
+  builder_.add_start(start);
+  builder_.add_has_after(has_after);
+  builder_.add_is_prepared(is_prepared);
+  builder_.add_prepared_writes(prepared_writes);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct RunRequest::Traits {
+  using type = RunRequest;
+  static auto constexpr Create = CreateRunRequest;
+};
+
+inline flatbuffers::Offset<RunRequest> CreateRunRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *endpoint = nullptr,
+    const char *workspace = nullptr,
+    uint8_t kind = 0,
+    const char *statement_id = nullptr,
+    const char *text = nullptr,
+    const char *prepared_shape = nullptr,
+    bool prepared_writes = false,
+    bool is_prepared = false,
+    bool has_after = false,
+    uint64_t after_term = 0,
+    uint64_t after_index = 0,
+    const std::vector<flatbuffers::Offset<camphorstack::wire::SessionValue>> *values = nullptr,
+    uint64_t transaction = 0,
+    uint8_t start = 0,
+    uint64_t round = 0,
+    int64_t statement_timeout_ms = 0,
+    int64_t patience_ms = 0,
+    int32_t priority = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  auto statement_id__ = statement_id ? _fbb.CreateString(statement_id) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  auto prepared_shape__ = prepared_shape ? _fbb.CreateString(prepared_shape) : 0;
+  auto values__ = values ? _fbb.CreateVector<flatbuffers::Offset<camphorstack::wire::SessionValue>>(*values) : 0;
+  return camphorstack::wire::CreateRunRequest(
+      _fbb,
+      id,
+      endpoint__,
+      workspace__,
+      kind,
+      statement_id__,
+      text__,
+      prepared_shape__,
+      prepared_writes,
+      is_prepared,
+      has_after,
+      after_term,
+      after_index,
+      values__,
+      transaction,
+      start,
+      round,
+      statement_timeout_ms,
+      patience_ms,
+      priority);
+}
+
+struct RunResult FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunResultBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_OUTCOME = 6,
+    VT_CODE = 8,
+    VT_TEXT = 10,
+    VT_ROWS = 12,
+    VT_PROOF = 14,
+    VT_STATE = 16,
+    VT_HAS_POSITION = 18,
+    VT_POSITION_TERM = 20,
+    VT_POSITION_INDEX = 22,
+    VT_ROUND = 24,
+    VT_WAIT_MS = 26,
+    VT_TRANSACTION_OPEN = 28,
+    VT_HAS_STATUS = 30,
+    VT_IS_PRIMARY = 32,
+    VT_STATUS_TERM = 34,
+    VT_RECEIVED_TERM = 36,
+    VT_RECEIVED_INDEX = 38,
+    VT_LAG_MS = 40
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  uint8_t code() const {
+    return GetField<uint8_t>(VT_CODE, 0);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *rows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ROWS);
+  }
+  const flatbuffers::String *proof() const {
+    return GetPointer<const flatbuffers::String *>(VT_PROOF);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  bool has_position() const {
+    return GetField<uint8_t>(VT_HAS_POSITION, 0) != 0;
+  }
+  uint64_t position_term() const {
+    return GetField<uint64_t>(VT_POSITION_TERM, 0);
+  }
+  uint64_t position_index() const {
+    return GetField<uint64_t>(VT_POSITION_INDEX, 0);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  int64_t wait_ms() const {
+    return GetField<int64_t>(VT_WAIT_MS, 0);
+  }
+  bool transaction_open() const {
+    return GetField<uint8_t>(VT_TRANSACTION_OPEN, 0) != 0;
+  }
+  bool has_status() const {
+    return GetField<uint8_t>(VT_HAS_STATUS, 0) != 0;
+  }
+  bool is_primary() const {
+    return GetField<uint8_t>(VT_IS_PRIMARY, 0) != 0;
+  }
+  uint64_t status_term() const {
+    return GetField<uint64_t>(VT_STATUS_TERM, 0);
+  }
+  uint64_t received_term() const {
+    return GetField<uint64_t>(VT_RECEIVED_TERM, 0);
+  }
+  uint64_t received_index() const {
+    return GetField<uint64_t>(VT_RECEIVED_INDEX, 0);
+  }
+  int64_t lag_ms() const {
+    return GetField<int64_t>(VT_LAG_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CODE, 1) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.VerifyVectorOfStrings(rows()) &&
+           VerifyOffset(verifier, VT_PROOF) &&
+           verifier.VerifyString(proof()) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_POSITION, 1) &&
+           VerifyField<uint64_t>(verifier, VT_POSITION_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_POSITION_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<int64_t>(verifier, VT_WAIT_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_TRANSACTION_OPEN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_STATUS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_PRIMARY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STATUS_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RECEIVED_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RECEIVED_INDEX, 8) &&
+           VerifyField<int64_t>(verifier, VT_LAG_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RunResultBuilder {
+  typedef RunResult Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_ID, id, 0);
+  }
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(RunResult::VT_OUTCOME, outcome, 0);
+  }
+  void add_code(uint8_t code) {
+    fbb_.AddElement<uint8_t>(RunResult::VT_CODE, code, 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(RunResult::VT_TEXT, text);
+  }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> rows) {
+    fbb_.AddOffset(RunResult::VT_ROWS, rows);
+  }
+  void add_proof(flatbuffers::Offset<flatbuffers::String> proof) {
+    fbb_.AddOffset(RunResult::VT_PROOF, proof);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(RunResult::VT_STATE, state, 0);
+  }
+  void add_has_position(bool has_position) {
+    fbb_.AddElement<uint8_t>(RunResult::VT_HAS_POSITION, static_cast<uint8_t>(has_position), 0);
+  }
+  void add_position_term(uint64_t position_term) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_POSITION_TERM, position_term, 0);
+  }
+  void add_position_index(uint64_t position_index) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_POSITION_INDEX, position_index, 0);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_ROUND, round, 0);
+  }
+  void add_wait_ms(int64_t wait_ms) {
+    fbb_.AddElement<int64_t>(RunResult::VT_WAIT_MS, wait_ms, 0);
+  }
+  void add_transaction_open(bool transaction_open) {
+    fbb_.AddElement<uint8_t>(RunResult::VT_TRANSACTION_OPEN, static_cast<uint8_t>(transaction_open), 0);
+  }
+  void add_has_status(bool has_status) {
+    fbb_.AddElement<uint8_t>(RunResult::VT_HAS_STATUS, static_cast<uint8_t>(has_status), 0);
+  }
+  void add_is_primary(bool is_primary) {
+    fbb_.AddElement<uint8_t>(RunResult::VT_IS_PRIMARY, static_cast<uint8_t>(is_primary), 0);
+  }
+  void add_status_term(uint64_t status_term) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_STATUS_TERM, status_term, 0);
+  }
+  void add_received_term(uint64_t received_term) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_RECEIVED_TERM, received_term, 0);
+  }
+  void add_received_index(uint64_t received_index) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_RECEIVED_INDEX, received_index, 0);
+  }
+  void add_lag_ms(int64_t lag_ms) {
+    fbb_.AddElement<int64_t>(RunResult::VT_LAG_MS, lag_ms, 0);
+  }
+  explicit RunResultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunResult> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunResult>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RunResult> CreateRunResult(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t outcome = 0,
+    uint8_t code = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> rows = 0,
+    flatbuffers::Offset<flatbuffers::String> proof = 0,
+    uint8_t state = 0,
+    bool has_position = false,
+    uint64_t position_term = 0,
+    uint64_t position_index = 0,
+    uint64_t round = 0,
+    int64_t wait_ms = 0,
+    bool transaction_open = false,
+    bool has_status = false,
+    bool is_primary = false,
+    uint64_t status_term = 0,
+    uint64_t received_term = 0,
+    uint64_t received_index = 0,
+    int64_t lag_ms = 0) {
+  RunResultBuilder builder_(_fbb);
+  builder_.add_lag_ms(lag_ms);
+  builder_.add_received_index(received_index);
+  builder_.add_received_term(received_term);
+  builder_.add_status_term(status_term);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_round(round);
+  builder_.add_position_index(position_index);
+  builder_.add_position_term(position_term);
+  builder_.add_id(id);
+  builder_.add_proof(proof);
+  builder_.add_rows(rows);
+  builder_.add_text(text);
+  builder_.add_is_primary(is_primary);
+  builder_.add_has_status(has_status);
+  builder_.add_transaction_open(transaction_open);
+  builder_.add_has_position(has_position);
+  builder_.add_state(state);
+  builder_.add_code(code);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct RunResult::Traits {
+  using type = RunResult;
+  static auto constexpr Create = CreateRunResult;
+};
+
+inline flatbuffers::Offset<RunResult> CreateRunResultDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t outcome = 0,
+    uint8_t code = 0,
+    const char *text = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *rows = nullptr,
+    const char *proof = nullptr,
+    uint8_t state = 0,
+    bool has_position = false,
+    uint64_t position_term = 0,
+    uint64_t position_index = 0,
+    uint64_t round = 0,
+    int64_t wait_ms = 0,
+    bool transaction_open = false,
+    bool has_status = false,
+    bool is_primary = false,
+    uint64_t status_term = 0,
+    uint64_t received_term = 0,
+    uint64_t received_index = 0,
+    int64_t lag_ms = 0) {
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*rows) : 0;
+  auto proof__ = proof ? _fbb.CreateString(proof) : 0;
+  return camphorstack::wire::CreateRunResult(
+      _fbb,
+      id,
+      outcome,
+      code,
+      text__,
+      rows__,
+      proof__,
+      state,
+      has_position,
+      position_term,
+      position_index,
+      round,
+      wait_ms,
+      transaction_open,
+      has_status,
+      is_primary,
+      status_term,
+      received_term,
+      received_index,
+      lag_ms);
+}
+
+struct TransactionLeft FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TransactionLeftBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TRANSACTION = 4
+  };
+  uint64_t transaction() const {
+    return GetField<uint64_t>(VT_TRANSACTION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TRANSACTION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct TransactionLeftBuilder {
+  typedef TransactionLeft Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_transaction(uint64_t transaction) {
+    fbb_.AddElement<uint64_t>(TransactionLeft::VT_TRANSACTION, transaction, 0);
+  }
+  explicit TransactionLeftBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TransactionLeft> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TransactionLeft>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TransactionLeft> CreateTransactionLeft(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t transaction = 0) {
+  TransactionLeftBuilder builder_(_fbb);
+  builder_.add_transaction(transaction);
+  return builder_.Finish();
+}
+
+struct TransactionLeft::Traits {
+  using type = TransactionLeft;
+  static auto constexpr Create = CreateTransactionLeft;
+};
+
+struct MembershipReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MembershipReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOST = 4,
+    VT_NONCE = 6,
+    VT_STAGE = 8,
+    VT_SUSPECTED = 10
+  };
+  const camphorstack::wire::Member *host() const {
+    return GetPointer<const camphorstack::wire::Member *>(VT_HOST);
+  }
+  const flatbuffers::String *nonce() const {
+    return GetPointer<const flatbuffers::String *>(VT_NONCE);
+  }
+  uint8_t stage() const {
+    return GetField<uint8_t>(VT_STAGE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *suspected() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SUSPECTED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyTable(host()) &&
+           VerifyOffset(verifier, VT_NONCE) &&
+           verifier.VerifyString(nonce()) &&
+           VerifyField<uint8_t>(verifier, VT_STAGE, 1) &&
+           VerifyOffset(verifier, VT_SUSPECTED) &&
+           verifier.VerifyVector(suspected()) &&
+           verifier.VerifyVectorOfStrings(suspected()) &&
+           verifier.EndTable();
+  }
+};
+
+struct MembershipReportBuilder {
+  typedef MembershipReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_host(flatbuffers::Offset<camphorstack::wire::Member> host) {
+    fbb_.AddOffset(MembershipReport::VT_HOST, host);
+  }
+  void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
+    fbb_.AddOffset(MembershipReport::VT_NONCE, nonce);
+  }
+  void add_stage(uint8_t stage) {
+    fbb_.AddElement<uint8_t>(MembershipReport::VT_STAGE, stage, 0);
+  }
+  void add_suspected(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspected) {
+    fbb_.AddOffset(MembershipReport::VT_SUSPECTED, suspected);
+  }
+  explicit MembershipReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MembershipReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MembershipReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MembershipReport> CreateMembershipReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<camphorstack::wire::Member> host = 0,
+    flatbuffers::Offset<flatbuffers::String> nonce = 0,
+    uint8_t stage = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspected = 0) {
+  MembershipReportBuilder builder_(_fbb);
+  builder_.add_suspected(suspected);
+  builder_.add_nonce(nonce);
+  builder_.add_host(host);
+  builder_.add_stage(stage);
+  return builder_.Finish();
+}
+
+struct MembershipReport::Traits {
+  using type = MembershipReport;
+  static auto constexpr Create = CreateMembershipReport;
+};
+
+inline flatbuffers::Offset<MembershipReport> CreateMembershipReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<camphorstack::wire::Member> host = 0,
+    const char *nonce = nullptr,
+    uint8_t stage = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *suspected = nullptr) {
+  auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
+  auto suspected__ = suspected ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*suspected) : 0;
+  return camphorstack::wire::CreateMembershipReport(
+      _fbb,
+      host,
+      nonce__,
+      stage,
+      suspected__);
+}
+
+struct MembershipAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MembershipAnswerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COORDINATES = 4
+  };
+  bool coordinates() const {
+    return GetField<uint8_t>(VT_COORDINATES, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_COORDINATES, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct MembershipAnswerBuilder {
+  typedef MembershipAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_coordinates(bool coordinates) {
+    fbb_.AddElement<uint8_t>(MembershipAnswer::VT_COORDINATES, static_cast<uint8_t>(coordinates), 0);
+  }
+  explicit MembershipAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MembershipAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MembershipAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MembershipAnswer> CreateMembershipAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool coordinates = false) {
+  MembershipAnswerBuilder builder_(_fbb);
+  builder_.add_coordinates(coordinates);
+  return builder_.Finish();
+}
+
+struct MembershipAnswer::Traits {
+  using type = MembershipAnswer;
+  static auto constexpr Create = CreateMembershipAnswer;
+};
+
+struct LeaderClosed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaderClosedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATABASE = 4,
+    VT_ROUND = 6
+  };
+  const flatbuffers::String *database() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATABASE);
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DATABASE) &&
+           verifier.VerifyString(database()) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LeaderClosedBuilder {
+  typedef LeaderClosed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_database(flatbuffers::Offset<flatbuffers::String> database) {
+    fbb_.AddOffset(LeaderClosed::VT_DATABASE, database);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(LeaderClosed::VT_ROUND, round, 0);
+  }
+  explicit LeaderClosedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaderClosed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaderClosed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaderClosed> CreateLeaderClosed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> database = 0,
+    uint64_t round = 0) {
+  LeaderClosedBuilder builder_(_fbb);
+  builder_.add_round(round);
+  builder_.add_database(database);
+  return builder_.Finish();
+}
+
+struct LeaderClosed::Traits {
+  using type = LeaderClosed;
+  static auto constexpr Create = CreateLeaderClosed;
+};
+
+inline flatbuffers::Offset<LeaderClosed> CreateLeaderClosedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *database = nullptr,
+    uint64_t round = 0) {
+  auto database__ = database ? _fbb.CreateString(database) : 0;
+  return camphorstack::wire::CreateLeaderClosed(
+      _fbb,
+      database__,
+      round);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -1643,6 +2599,24 @@
   const camphorstack::wire::LoanGrant *body_as_LoanGrant() const {
     return body_type() == camphorstack::wire::Body::LoanGrant ? static_cast<const camphorstack::wire::LoanGrant *>(body()) : nullptr;
   }
+  const camphorstack::wire::RunRequest *body_as_RunRequest() const {
+    return body_type() == camphorstack::wire::Body::RunRequest ? static_cast<const camphorstack::wire::RunRequest *>(body()) : nullptr;
+  }
+  const camphorstack::wire::RunResult *body_as_RunResult() const {
+    return body_type() == camphorstack::wire::Body::RunResult ? static_cast<const camphorstack::wire::RunResult *>(body()) : nullptr;
+  }
+  const camphorstack::wire::TransactionLeft *body_as_TransactionLeft() const {
+    return body_type() == camphorstack::wire::Body::TransactionLeft ? static_cast<const camphorstack::wire::TransactionLeft *>(body()) : nullptr;
+  }
+  const camphorstack::wire::MembershipReport *body_as_MembershipReport() const {
+    return body_type() == camphorstack::wire::Body::MembershipReport ? static_cast<const camphorstack::wire::MembershipReport *>(body()) : nullptr;
+  }
+  const camphorstack::wire::MembershipAnswer *body_as_MembershipAnswer() const {
+    return body_type() == camphorstack::wire::Body::MembershipAnswer ? static_cast<const camphorstack::wire::MembershipAnswer *>(body()) : nullptr;
+  }
+  const camphorstack::wire::LeaderClosed *body_as_LeaderClosed() const {
+    return body_type() == camphorstack::wire::Body::LeaderClosed ? static_cast<const camphorstack::wire::LeaderClosed *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -1703,6 +2677,30 @@
   return body_as_LoanGrant();
 }
 
+template<> inline const camphorstack::wire::RunRequest *Frame::body_as<camphorstack::wire::RunRequest>() const {
+  return body_as_RunRequest();
+}
+
+template<> inline const camphorstack::wire::RunResult *Frame::body_as<camphorstack::wire::RunResult>() const {
+  return body_as_RunResult();
+}
+
+template<> inline const camphorstack::wire::TransactionLeft *Frame::body_as<camphorstack::wire::TransactionLeft>() const {
+  return body_as_TransactionLeft();
+}
+
+template<> inline const camphorstack::wire::MembershipReport *Frame::body_as<camphorstack::wire::MembershipReport>() const {
+  return body_as_MembershipReport();
+}
+
+template<> inline const camphorstack::wire::MembershipAnswer *Frame::body_as<camphorstack::wire::MembershipAnswer>() const {
+  return body_as_MembershipAnswer();
+}
+
+template<> inline const camphorstack::wire::LeaderClosed *Frame::body_as<camphorstack::wire::LeaderClosed>() const {
+  return body_as_LeaderClosed();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1817,6 +2815,30 @@
       auto ptr = reinterpret_cast<const camphorstack::wire::LoanGrant *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::RunRequest: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::RunRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::RunResult: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::RunResult *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TransactionLeft: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::TransactionLeft *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MembershipReport: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::MembershipReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MembershipAnswer: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::MembershipAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::LeaderClosed: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::LeaderClosed *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- /dev/null
+++ b/src/camphorstack/session_host/catalog_news.cpp
@@ -0,0 +1,255 @@
+#include "camphorstack/session_host/catalog_news.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphorstack/contracts/shares.hpp"
+#include "camphorstack/session_host/endpoint_owners.hpp"
+#include "camphorstack/support/errors.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+void log_unreadable(session_host_state& state, collection of, const catalog_item& item, const std::string& reason) {
+    const auto key = std::string(to_string(of)) + "/" + item.name + "@" + std::to_string(item.revision);
+    if (state.logged_unreadable.insert(key).second) {
+        log_decision(state, "object_unreadable", "object=" + key + " reason=\"" + reason + "\"", true);
+    }
+}
+
+void adopt_document(session_host_state& state, const std::shared_ptr<const document>& content, instant now) {
+    auto& catalog = state.catalog;
+    if (content->version <= catalog.content->version) {
+        return;
+    }
+    log_decision(state, "document_adopted",
+                 "version=" + std::to_string(content->version) + " previous=" + std::to_string(catalog.content->version) +
+                     " routes=" + std::to_string(content->routes.size()) +
+                     " workspaces=" + std::to_string(content->workspaces.size()));
+    catalog.content = content;
+    catalog.workspace_by_key.clear();
+    for (const auto& owner : content->workspaces) {
+        for (const auto& key : owner.keys) {
+            catalog.workspace_by_key[key.sha256] = owner.id;
+        }
+    }
+    catalog.route_by_database.clear();
+    for (std::size_t i = 0; i < content->routes.size(); ++i) {
+        catalog.route_by_database.emplace(content->routes[i].sessions.database, i);
+    }
+    shares_on_document(state.shares, *content, now);
+    renew_endpoint_shares(state, now);
+}
+
+void adopt_members(session_host_state& state, const members_record& record, store_revision revision, instant now) {
+    auto& known = state.catalog.members;
+    if (known && revision <= known->revision) {
+        return;
+    }
+    const bool new_epoch = !known || known->record.list.epoch != record.list.epoch;
+    known = stored_record<members_record>{record, revision};
+    std::string names;
+    for (const auto& host : record.list.hosts) {
+        names += (names.empty() ? "" : ",") + host.id;
+    }
+    log_decision(state, "members_adopted", "epoch=" + std::to_string(record.list.epoch) + " hosts=" + names + " unreachable=" +
+                                               std::to_string(record.unreachable.size()));
+    if (new_epoch) {
+        shares_on_members(state.shares, record.list, now);
+    }
+    renew_endpoint_shares(state, now);
+}
+
+void adopt_coordinator(session_host_state& state, const coordinator_record& record, store_revision revision, instant now) {
+    auto& known = state.catalog.coordinator;
+    if (known && revision <= known->revision) {
+        return;
+    }
+    known = stored_record<coordinator_record>{record, revision};
+    log_decision(state, "coordinator_adopted", "host=" + record.host.id + " fence=" + std::to_string(record.fence));
+    // The new one has as long as any other to answer.
+    state.coordination.answered = now;
+    state.coordination.next_report = now;
+    state.coordination.peers_heard.clear();
+}
+
+void adopt_leader(session_host_state& state, const leader_record& record, store_revision revision, instant now) {
+    auto& known = state.catalog.leaders[record.database];
+    if (revision <= known.revision) {
+        return;
+    }
+    known = {record, revision};
+    log_decision(state, "leader_adopted", "database=" + record.database + " endpoint=" + record.endpoint + " phase=" +
+                                              (record.phase == leader_phase::serving ? "serving" : "changing") +
+                                              " planned=" + (record.planned ? "yes" : "no") +
+                                              " round=" + std::to_string(record.round));
+    renew_leader_rights(state, now);
+}
+
+void remove_fleet_item(session_host_state& state, const std::string& name) {
+    if (name == coordinator_record::name) {
+        state.catalog.coordinator.reset();
+    } else if (name == members_record::name) {
+        state.catalog.members.reset();
+    } else {
+        std::erase_if(state.catalog.leaders, [&](const auto& item) { return leader_object_name(item.first) == name; });
+    }
+}
+
+void apply_endpoints(session_host_state& state, const collection_news& news, instant now) {
+    auto& known = state.catalog.endpoints;
+    endpoint_directory next = news.complete ? endpoint_directory() : known;
+    for (const auto& item : news.items) {
+        if (const auto* entry = std::get_if<endpoint_entry>(&item.content)) {
+            next[entry->id] = *entry;
+            continue;
+        }
+        next.erase(item.name);
+        if (const auto* bad = std::get_if<unreadable_item>(&item.content)) {
+            log_unreadable(state, collection::endpoints, item, bad->reason);
+        }
+    }
+    for (const auto& name : news.removed) {
+        next.erase(name);
+    }
+    if (next == known) {
+        return;
+    }
+    for (const auto& [id, entry] : next) {
+        const auto before = known.find(id);
+        if (before == known.end() || before->second.draining != entry.draining ||
+            before->second.is_primary != entry.is_primary || before->second.address != entry.address) {
+            log_decision(state, "endpoint_changed", "endpoint=" + id + " database=" + entry.database + " address=" +
+                                                        entry.address + " draining=" + (entry.draining ? "yes" : "no") +
+                                                        " primary=" + (entry.is_primary ? "yes" : "no"));
+        }
+    }
+    for (const auto& [id, entry] : known) {
+        if (!next.contains(id)) {
+            log_decision(state, "endpoint_removed", "endpoint=" + id + " database=" + entry.database);
+        }
+    }
+    known = std::move(next);
+    renew_endpoint_shares(state, now);
+}
+
+void apply_evacuations(session_host_state& state, const collection_news& news, instant now) {
+    auto& known = state.catalog.evacuated;
+    auto next = news.complete ? std::set<data_centre_id>() : known;
+    for (const auto& item : news.items) {
+        // Whatever the object holds, its name asks for the evacuation.
+        next.insert(item.name);
+    }
+    for (const auto& name : news.removed) {
+        next.erase(name);
+    }
+    if (next != known) {
+        known = std::move(next);
+        std::string names;
+        for (const auto& name : known) {
+            names += (names.empty() ? "" : ",") + name;
+        }
+        log_decision(state, "evacuations_changed", "data_centres=" + names);
+        renew_endpoint_shares(state, now);
+    }
+}
+
+int connections_of(const document& content, const database_id& id) {
+    const auto* found = find_database(content, id);
+    return found == nullptr ? 0 : found->connections_per_endpoint;
+}
+
+}  // namespace
+
+void adopt_fleet_item(session_host_state& state, const catalog_item& item, instant now) {
+    const auto* text = std::get_if<fleet_item>(&item.content);
+    if (text == nullptr) {
+        return;
+    }
+    try {
+        const auto record = parse_fleet_record(item.name, text->text);
+        if (const auto* coordinator = std::get_if<coordinator_record>(&record)) {
+            adopt_coordinator(state, *coordinator, item.revision, now);
+        } else if (const auto* members = std::get_if<members_record>(&record)) {
+            adopt_members(state, *members, item.revision, now);
+        } else {
+            adopt_leader(state, std::get<leader_record>(record), item.revision, now);
+        }
+    } catch (const format_error& failure) {
+        log_unreadable(state, collection::fleet, item, failure.what());
+    }
+}
+
+void apply_news(session_host_state& state, collection of, const collection_news& news, instant now) {
+    switch (of) {
+        case collection::document:
+            for (const auto& item : news.items) {
+                if (const auto* content = std::get_if<std::shared_ptr<const document>>(&item.content)) {
+                    adopt_document(state, *content, now);
+                } else if (const auto* bad = std::get_if<unreadable_item>(&item.content)) {
+                    log_unreadable(state, of, item, bad->reason);
+                }
+            }
+            break;
+        case collection::endpoints:
+            apply_endpoints(state, news, now);
+            break;
+        case collection::evacuations:
+            apply_evacuations(state, news, now);
+            break;
+        case collection::fleet:
+            for (const auto& item : news.items) {
+                adopt_fleet_item(state, item, now);
+            }
+            for (const auto& name : news.removed) {
+                remove_fleet_item(state, name);
+            }
+            break;
+    }
+}
+
+void renew_endpoint_shares(session_host_state& state, instant now) {
+    const auto& settings = state.settings;
+    std::vector<member> owners;
+    if (state.catalog.members) {
+        const auto& record = state.catalog.members->record;
+        std::ranges::copy_if(record.list.hosts, std::back_inserter(owners), [&](const member& host) {
+            return !std::ranges::binary_search(record.unreachable, host.id);
+        });
+    }
+    state.owners = choose_endpoint_owners(state.catalog.endpoints, owners);
+    std::map<endpoint_id, endpoint_share> shares;
+    for (const auto& [id, entry] : state.catalog.endpoints) {
+        const auto owner = state.owners.find(id);
+        const bool is_owner = owner != state.owners.end() && owner->second == settings.self.id;
+        const auto all = connections_of(*state.catalog.content, entry.database);
+        const auto owned = static_cast<std::size_t>(std::max(1, all - settings.spare_connections));
+        shares[id] = {entry, is_owner ? owned : settings.direct_connections};
+    }
+    set_endpoints(state.executor, shares, now);
+    renew_leader_rights(state, now);
+}
+
+void renew_leader_rights(session_host_state& state, instant now) {
+    const auto& evidence = watch_of(state, collection::fleet).evidence;
+    std::map<endpoint_id, leader_right> rights;
+    for (const auto& [database, stored] : state.catalog.leaders) {
+        const auto& record = stored.record;
+        const bool closing = record.phase == leader_phase::changing;
+        if (evidence && (!closing || record.planned)) {
+            // Open transactions may still end before a planned change; their round is that of the record before.
+            const auto round = closing ? record.round - 1 : record.round;
+            rights[record.endpoint] = {round, *evidence + state.settings.coordination.leader_right, closing};
+        }
+    }
+    for (auto& [id, endpoint] : state.executor.endpoints) {
+        const auto found = rights.find(id);
+        const auto next = found == rights.end() ? std::nullopt : std::optional(found->second);
+        if (endpoint.right != next) {
+            set_leader_right(state.executor, id, next, now);
+        }
+    }
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/session_host/catalog_news.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "camphorstack/session_host/session_host_state.hpp"
+
+namespace camphorstack {
+
+/// Takes over what is new in one collection of the store, and what follows from it: keys, shares, owners, leaders.
+void apply_news(session_host_state& state, collection of, const collection_news& news, instant now);
+
+/// Takes over a record that this host has written or that the store returned on a conflict.
+void adopt_fleet_item(session_host_state& state, const catalog_item& item, instant now);
+
+/// Recomputes owners and what this host may use each endpoint for.
+void renew_endpoint_shares(session_host_state& state, instant now);
+
+/// Recomputes the right to use each leader from the records and the age of their evidence.
+void renew_leader_rights(session_host_state& state, instant now);
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/session_host/entry.cpp
@@ -0,0 +1,185 @@
+#include "camphorstack/session_host/entry.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "camphorstack/session_host/operations.hpp"
+#include "camphorstack/session_host/session_answers.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+void set_value(caller_session& session, const statement& wanted) {
+    const auto place = std::ranges::lower_bound(session.values, wanted.name, {}, &session_value::name);
+    if (place != session.values.end() && place->name == wanted.name) {
+        place->value = wanted.argument;
+    } else {
+        session.values.insert(place, {wanted.name, wanted.argument});
+    }
+}
+
+void begin_transaction(session_host_state& state, caller_session& session, const statement& wanted, instant now) {
+    if (session.state != session_state::idle) {
+        answer_error(state, session, result_code::malformed, "a transaction is open already");
+        return;
+    }
+    start_operation(state, session, wanted, now);
+}
+
+/// Ends a transaction that has failed; nothing of it is kept.
+void end_failed_transaction(session_host_state& state, caller_session& session, const statement& wanted, instant now) {
+    if (wanted.kind != statement_kind::commit && wanted.kind != statement_kind::rollback) {
+        answer_error(state, session, result_code::malformed, "the transaction has failed and must be ended");
+        return;
+    }
+    leave_transaction(state, session, now);
+    if (wanted.kind == statement_kind::commit) {
+        answer_error(state, session, result_code::aborted, "the transaction had failed and was rolled back");
+    } else {
+        answer_done(state, session);
+    }
+}
+
+void execute(session_host_state& state, caller_session& session, const statement& wanted, instant now) {
+    if (!session.prepared.contains(wanted.name)) {
+        fail_statement(state, session, result_code::no_statement, "no prepared statement has this name", now);
+        return;
+    }
+    start_operation(state, session, wanted, now);
+}
+
+void begin_statement(session_host_state& state, caller_session& session, const statement& wanted, instant now) {
+    session.last_used = now;
+    if (wanted.kind == statement_kind::malformed) {
+        answer_error(state, session, result_code::malformed, "the statement is not understood");
+        return;
+    }
+    if (session.state == session_state::failed) {
+        end_failed_transaction(state, session, wanted, now);
+        return;
+    }
+    switch (wanted.kind) {
+        case statement_kind::set_value:
+            set_value(session, wanted);
+            answer_done(state, session);
+            break;
+        case statement_kind::prepare:
+            session.prepared[wanted.name] = {wanted.argument, wanted.writes};
+            answer_done(state, session);
+            break;
+        case statement_kind::deallocate:
+            if (session.prepared.erase(wanted.name) == 0) {
+                fail_statement(state, session, result_code::no_statement, "no prepared statement has this name", now);
+            } else {
+                answer_done(state, session);
+            }
+            break;
+        case statement_kind::begin:
+        case statement_kind::begin_read_only:
+            begin_transaction(state, session, wanted, now);
+            break;
+        case statement_kind::rollback:
+            if (session.state == session_state::idle) {
+                answer_error(state, session, result_code::malformed, "no transaction is open");
+            } else {
+                leave_transaction(state, session, now);
+                answer_done(state, session);
+            }
+            break;
+        case statement_kind::commit:
+            if (session.state == session_state::idle) {
+                answer_error(state, session, result_code::malformed, "no transaction is open");
+            } else {
+                start_operation(state, session, wanted, now);
+            }
+            break;
+        case statement_kind::execute:
+            execute(state, session, wanted, now);
+            break;
+        case statement_kind::read:
+        case statement_kind::write:
+            start_operation(state, session, wanted, now);
+            break;
+        case statement_kind::malformed:
+            break;
+    }
+}
+
+}  // namespace
+
+void receive_session(session_host_state& state, const session_requested& event, instant now) {
+    caller_session session;
+    session.id = event.session;
+    session.database = event.database;
+    session.key_sha256 = event.key_sha256;
+    session.last_used = now;
+    const auto access = find_access(state, session);
+    const auto* refused = std::get_if<refused_access>(&access);
+    const bool known = state.catalog.content->version > 0;
+    if (!known || refused != nullptr) {
+        const auto code = known ? refused->code : result_code::busy;
+        const auto text = known ? refused->text : "this host knows no document yet";
+        log_decision(state, "session_refused",
+                     "database=" + event.database + " code=" + to_string(code) +
+                         " document=" + std::to_string(state.catalog.content->version),
+                     true);
+        state.actions.emplace_back(reject_session{event.session, code, text});
+        return;
+    }
+    state.sessions.emplace(event.session, std::move(session));
+    state.actions.emplace_back(accept_session{event.session});
+}
+
+void receive_statement(session_host_state& state, const statement_received& event, instant now) {
+    const auto found = state.sessions.find(event.session);
+    if (found == state.sessions.end()) {
+        return;
+    }
+    auto& session = found->second;
+    if (session.waiting.size() >= state.settings.entry.waiting_statements) {
+        state.actions.emplace_back(close_session{session.id});
+        receive_session_left(state, {session.id}, now);
+        return;
+    }
+    session.waiting.push_back(event.wanted);
+    advance_session(state, session, now);
+}
+
+void advance_session(session_host_state& state, caller_session& session, instant now) {
+    while (!session.operation && !session.waiting.empty()) {
+        const auto wanted = std::move(session.waiting.front());
+        session.waiting.pop_front();
+        begin_statement(state, session, wanted, now);
+    }
+}
+
+void receive_session_left(session_host_state& state, const session_left& event, instant now) {
+    const auto found = state.sessions.find(event.session);
+    if (found == state.sessions.end()) {
+        return;
+    }
+    auto& session = found->second;
+    leave_transaction(state, session, now);
+    if (session.operation) {
+        state.runs.erase(session.operation->run);
+    }
+    state.waiting_sessions.erase(session.id);
+    state.sessions.erase(found);
+}
+
+void close_idle_sessions(session_host_state& state, instant now) {
+    std::vector<session_id> idle;
+    for (const auto& [id, session] : state.sessions) {
+        if (session.state == session_state::idle && !session.operation && session.waiting.empty()) {
+            idle.push_back(id);
+        }
+    }
+    for (const auto id : idle) {
+        state.actions.emplace_back(close_session{id});
+        receive_session_left(state, {id}, now);
+    }
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/session_host/operations.cpp
@@ -0,0 +1,497 @@
+#include "camphorstack/session_host/operations.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphorstack/session_host/entry.hpp"
+#include "camphorstack/session_host/routing.hpp"
+#include "camphorstack/session_host/session_answers.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+/// Part of a route's target latency that an operation may wait for a slot.
+constexpr std::int64_t patience_divisor = 2;
+constexpr millis least_patience{60};
+/// Questions to a primary for its position are given up after this time.
+constexpr millis question_time{400};
+
+run_kind kind_of(const caller_session& session, const statement& wanted) {
+    if (wanted.kind == statement_kind::commit) {
+        return run_kind::commit;
+    }
+    if (wanted.kind == statement_kind::execute) {
+        return session.prepared.at(wanted.name).writes ? run_kind::write : run_kind::read;
+    }
+    return wanted.kind == statement_kind::write ? run_kind::write : run_kind::read;
+}
+
+millis patience_of(const session_policy& policy) {
+    return std::max(least_patience, policy.target_latency / patience_divisor);
+}
+
+/// Whether the run begins its transaction at an endpoint, or needs none.
+bool may_choose_endpoint(const caller_session& session) {
+    return !session.transaction || !session.transaction->target;
+}
+
+bool needs_leader(const caller_session& session, const open_operation& operation) {
+    if (session.transaction) {
+        return !session.transaction->read_only;
+    }
+    return operation.kind != run_kind::read;
+}
+
+std::string describe(const caller_session& session, const open_operation& operation) {
+    return "request=" + operation.wanted.id + " workspace=" + operation.access.workspace + " database=" + session.database +
+           " service=" + operation.access.database;
+}
+
+std::string describe_target(const open_operation& operation, instant now) {
+    return " endpoint=" + operation.target.endpoint + " host=" + operation.target.host +
+           " round=" + std::to_string(operation.target.round) + " tried=" + std::to_string(operation.tried.size()) +
+           " ms=" + std::to_string((now - operation.arrived).count);
+}
+
+void forget_operation(session_host_state& state, caller_session& session) {
+    if (session.operation) {
+        state.runs.erase(session.operation->run);
+    }
+    state.waiting_sessions.erase(session.id);
+    session.operation.reset();
+}
+
+void give_up(session_host_state& state, caller_session& session, result_code code, const std::string& text, instant now) {
+    const auto operation = *session.operation;
+    forget_operation(state, session);
+    ++state.counts[operation.access.workspace].failed[code];
+    log_decision(state, "request_failed",
+                 describe(session, operation) + describe_target(operation, now) + " code=" + to_string(code) + " reason=\"" + text +
+                     "\"",
+                 true);
+    fail_statement(state, session, code, text, now);
+    advance_session(state, session, now);
+}
+
+void wait_for_leader(session_host_state& state, caller_session& session, instant not_before, instant now) {
+    auto& operation = *session.operation;
+    if (now - operation.arrived >= state.settings.entry.leader_wait) {
+        give_up(state, session, result_code::busy, "the database has no usable primary", now);
+        return;
+    }
+    operation.stage = operation_stage::waiting_for_leader;
+    operation.not_before = not_before;
+    state.waiting_sessions.insert(session.id);
+}
+
+void send_run(session_host_state& state, caller_session& session, const run_target& target,
+              const std::optional<log_position>& after, instant now) {
+    auto& operation = *session.operation;
+    operation.stage = operation_stage::running;
+    operation.target = target;
+    operation.sent = now;
+    operation.run = state.next_call++;
+    state.waiting_sessions.erase(session.id);
+    state.runs[operation.run] = session.id;
+    run_request request;
+    request.id = operation.run;
+    request.endpoint = target.endpoint;
+    request.workspace = operation.access.workspace;
+    request.kind = operation.kind;
+    request.statement_id = operation.wanted.id;
+    request.text = operation.wanted.text;
+    if (operation.wanted.kind == statement_kind::execute) {
+        request.prepared = session.prepared.at(operation.wanted.name);
+        request.text = operation.wanted.argument;
+    }
+    request.after = after;
+    request.values = session.values;
+    request.round = target.round;
+    request.statement_timeout = operation.access.policy.statement_timeout;
+    request.patience = patience_of(operation.access.policy);
+    request.priority = operation.access.policy.priority;
+    if (session.transaction) {
+        request.transaction = session.transaction->number;
+        if (!session.transaction->target) {
+            operation.begins_transaction = true;
+            request.start = session.transaction->read_only ? transaction_start::read_only : transaction_start::plain;
+            session.transaction->target = target;
+        }
+    }
+    start_run(state, target.host, std::move(request), now);
+}
+
+/// Sends the operation to an endpoint, or lets it wait for one.
+void dispatch(session_host_state& state, caller_session& session, instant now) {
+    auto& operation = *session.operation;
+    if (!may_choose_endpoint(session)) {
+        send_run(state, session, *session.transaction->target, std::nullopt, now);
+        return;
+    }
+    if (needs_leader(session, operation)) {
+        if (const auto target = leader_target(state, operation.access, now)) {
+            send_run(state, session, *target, std::nullopt, now);
+        } else {
+            wait_for_leader(state, session, now, now);
+        }
+        return;
+    }
+    if (const auto plan = choose_read(state, session, operation, now)) {
+        send_run(state, session, plan->target, plan->after, now);
+    } else {
+        operation.tried.clear();
+        wait_for_leader(state, session, now + state.settings.entry.leader_retry, now);
+    }
+}
+
+/// Takes the transaction's beginning: the caller has it at once, the endpoint with the first statement.
+void open_transaction(session_host_state& state, caller_session& session, instant now) {
+    const auto operation = *session.operation;
+    forget_operation(state, session);
+    session_transaction transaction;
+    transaction.number = state.next_call++;
+    transaction.read_only = operation.wanted.kind == statement_kind::begin_read_only;
+    transaction.access = operation.access;
+    transaction.began = now;
+    session.transaction = std::move(transaction);
+    session.state = session_state::in_transaction;
+    answer_done(state, session);
+    advance_session(state, session, now);
+}
+
+/// The operation is admitted: it has its tokens.
+void admit(session_host_state& state, caller_session& session, instant now) {
+    const auto kind = session.operation->wanted.kind;
+    if (kind == statement_kind::begin || kind == statement_kind::begin_read_only) {
+        open_transaction(state, session, now);
+    } else {
+        dispatch(state, session, now);
+    }
+}
+
+bool take_tokens(session_host_state& state, const open_operation& operation, instant now) {
+    return operation.access.workspace.empty() || try_spend(state.shares, operation.access.workspace, now);
+}
+
+void request_loans(session_host_state& state, instant now) {
+    for (auto& loan : due_loan_requests(state.shares, now, state.random)) {
+        send_peer(state, loan.lender, std::move(loan.request));
+    }
+}
+
+void begin_operation(session_host_state& state, caller_session& session, const statement& wanted, instant now) {
+    open_operation operation;
+    operation.wanted = wanted;
+    operation.arrived = now;
+    auto access = find_access(state, session);
+    if (const auto* refused = std::get_if<refused_access>(&access)) {
+        session.operation = operation;
+        give_up(state, session, refused->code, refused->text, now);
+        return;
+    }
+    operation.access = std::get<session_access>(std::move(access));
+    operation.kind = kind_of(session, wanted);
+    session.operation = std::move(operation);
+    if (!may_serve(state, now)) {
+        give_up(state, session, result_code::busy, "this host cannot prove that its document is recent", now);
+        return;
+    }
+    if (take_tokens(state, *session.operation, now)) {
+        admit(state, session, now);
+        return;
+    }
+    session.operation->stage = operation_stage::waiting_for_tokens;
+    state.waiting_sessions.insert(session.id);
+    request_loans(state, now);
+}
+
+void note_position(session_host_state& state, const database_id& database, const run_result& result, instant asked) {
+    if (result.round != 0 && result.position) {
+        add_sample(state.samples[database], result.round, {asked, *result.position});
+    }
+}
+
+void note_success(caller_session& session, const open_operation& operation, const run_result& result, instant now) {
+    const bool wrote = operation.kind == run_kind::commit || (operation.kind == run_kind::write && !session.transaction);
+    if (wrote && result.position && operation.target.round != 0) {
+        session.written = result.position;
+        session.written_round = operation.target.round;
+        session.written_at = now;
+    }
+}
+
+void finish_operation(session_host_state& state, caller_session& session, const run_result& result, instant now) {
+    const auto operation = *session.operation;
+    forget_operation(state, session);
+    session.last_used = now;
+    auto& counts = state.counts[operation.access.workspace];
+    if (result.code == result_code::none) {
+        ++counts.done;
+        note_success(session, operation, result, now);
+        log_decision(state, "request_done", describe(session, operation) + describe_target(operation, now));
+    } else {
+        ++counts.failed[result.code];
+        log_decision(state, "request_failed",
+                     describe(session, operation) + describe_target(operation, now) + " code=" + to_string(result.code) +
+                         " reason=\"" + result.text + "\"",
+                     true);
+    }
+    if (session.transaction) {
+        session.state = result.state;
+        if (result.state == session_state::idle) {
+            session.transaction.reset();
+        }
+    }
+    answer_result(state, session, result);
+    advance_session(state, session, now);
+}
+
+/// True if another endpoint may be tried for an operation that had no effect, or only read.
+bool may_try_again(const session_host_state& state, const caller_session& session, const open_operation& operation,
+                   const run_result& result, instant now) {
+    const auto& policy = operation.access.policy;
+    const bool begun = session.transaction && (!operation.begins_transaction || result.transaction_open);
+    const bool harmless = result.outcome == run_outcome::not_run ||
+                          (result.outcome == run_outcome::lost && operation.kind == run_kind::read && !session.transaction);
+    const auto spent = now - operation.arrived;
+    return !begun && harmless && spent < std::max(patience_of(policy), state.settings.entry.leader_wait);
+}
+
+/// The run had no effect or was a read. Tries elsewhere if there is a chance.
+void try_elsewhere(session_host_state& state, caller_session& session, const run_result& result, instant now) {
+    auto& operation = *session.operation;
+    const bool at_leader = operation.target.round != 0;
+    if (session.transaction) {
+        session.transaction->target.reset();
+    }
+    state.runs.erase(operation.run);
+    operation.tried.insert(operation.target.endpoint);
+    if (at_leader && (result.code == result_code::read_only || needs_leader(session, operation))) {
+        const bool is_full = result.code == result_code::busy && result.wait > millis{0};
+        if (is_full) {
+            give_up(state, session, result_code::busy, result.text, now);
+        } else {
+            wait_for_leader(state, session, now + state.settings.entry.leader_retry, now);
+        }
+        return;
+    }
+    const auto plan = choose_read(state, session, operation, now);
+    if (!plan || now - operation.arrived >= patience_of(operation.access.policy)) {
+        give_up(state, session, result.outcome == run_outcome::lost ? result.code : result_code::busy, result.text, now);
+        return;
+    }
+    send_run(state, session, plan->target, plan->after, now);
+}
+
+/// The statement of a transaction that is open at an endpoint did not succeed and is not answered by the endpoint.
+void fail_in_transaction(session_host_state& state, caller_session& session, const run_result& result, instant now) {
+    const bool in_doubt = result.outcome == run_outcome::lost && session.operation->kind == run_kind::commit;
+    if (!in_doubt) {
+        give_up(state, session, result_code::aborted, result.text, now);
+        return;
+    }
+    // The transaction has ended one way or the other.
+    session.transaction.reset();
+    session.state = session_state::idle;
+    give_up(state, session, result_code::in_doubt, result.text, now);
+}
+
+caller_session* session_of_run(session_host_state& state, run_id run) {
+    const auto found = state.runs.find(run);
+    if (found == state.runs.end()) {
+        return nullptr;
+    }
+    const auto session = state.sessions.find(found->second);
+    const bool waits = session != state.sessions.end() && session->second.operation && session->second.operation->run == run;
+    return waits ? &session->second : nullptr;
+}
+
+void lose_run(session_host_state& state, run_id run, run_outcome outcome, const char* reason, instant now) {
+    run_result result;
+    result.id = run;
+    result.outcome = outcome;
+    result.text = reason;
+    result.code = result_code::busy;
+    if (outcome == run_outcome::lost) {
+        if (const auto* session = session_of_run(state, run); session != nullptr) {
+            result.code = session->operation->kind == run_kind::read ? result_code::timeout : result_code::in_doubt;
+        }
+    }
+    receive_run_result(state, result, now);
+}
+
+void ask_for_positions(session_host_state& state, instant now) {
+    const auto& settings = state.settings.entry;
+    for (const auto& [database, wanted] : state.samples_wanted) {
+        const auto newest = newest_sample(state.samples[database]);
+        const bool is_old = !newest || now - *newest >= settings.sample_refresh;
+        const bool asked = std::ranges::any_of(state.sample_questions, [&](const auto& item) { return item.second == database; });
+        if (!is_old || asked || now - wanted >= settings.sample_refresh * 4) {
+            continue;
+        }
+        session_access access;
+        access.database = database;
+        const auto target = leader_target(state, access, now);
+        if (!target || state.catalog.content->workspaces.empty()) {
+            continue;
+        }
+        run_request request;
+        request.id = state.next_call++;
+        request.endpoint = target->endpoint;
+        request.workspace = state.catalog.content->workspaces.front().id;
+        request.kind = run_kind::status;
+        request.round = target->round;
+        request.statement_timeout = question_time;
+        request.patience = question_time;
+        state.sample_questions[request.id] = database;
+        state.questions_sent[request.id] = now;
+        start_run(state, target->host, std::move(request), now);
+    }
+}
+
+void end_idle_transactions(session_host_state& state, instant now) {
+    const auto limit = state.catalog.content->transaction_idle_limit;
+    if (limit <= millis{0}) {
+        return;
+    }
+    for (auto& [id, session] : state.sessions) {
+        if (session.transaction && session.transaction->target && !session.operation && now - session.last_used >= limit) {
+            log_decision(state, "transaction_idle", "database=" + session.database + " endpoint=" +
+                                                        session.transaction->target->endpoint +
+                                                        " idle_ms=" + std::to_string((now - session.last_used).count));
+            leave_transaction(state, session, now);
+            session.state = session_state::failed;
+        }
+    }
+}
+
+}  // namespace
+
+void start_operation(session_host_state& state, caller_session& session, const statement& wanted, instant now) {
+    if (!session.transaction) {
+        begin_operation(state, session, wanted, now);
+        return;
+    }
+    const auto& granted = session.transaction->access;
+    const bool has_key = !granted.policy.needs_key || state.catalog.workspace_by_key.contains(session.key_sha256);
+    if (!has_key || !may_serve(state, now)) {
+        log_decision(state, "transaction_refused",
+                     "request=" + wanted.id + " workspace=" + granted.workspace + " key_known=" + (has_key ? "yes" : "no") +
+                         " document=" + std::to_string(state.catalog.content->version),
+                     true);
+        fail_statement(state, session, result_code::aborted, "the key was withdrawn, or the document may be out of date", now);
+        return;
+    }
+    open_operation operation;
+    operation.wanted = wanted;
+    operation.access = granted;
+    operation.kind = kind_of(session, wanted);
+    operation.arrived = now;
+    session.operation = std::move(operation);
+    dispatch(state, session, now);
+}
+
+void receive_run_result(session_host_state& state, const run_result& result, instant now) {
+    if (const auto question = state.sample_questions.find(result.id); question != state.sample_questions.end()) {
+        note_position(state, question->second, result, state.questions_sent[result.id]);
+        state.sample_questions.erase(question);
+        state.questions_sent.erase(result.id);
+        return;
+    }
+    auto* session = session_of_run(state, result.id);
+    if (session == nullptr) {
+        state.runs.erase(result.id);
+        return;
+    }
+    auto& operation = *session->operation;
+    note_position(state, operation.access.database, result, operation.sent);
+    state.waits[operation.target.endpoint] = {result.wait, now};
+    if (result.outcome == run_outcome::done || result.outcome == run_outcome::failed) {
+        finish_operation(state, *session, result, now);
+    } else if (may_try_again(state, *session, operation, result, now)) {
+        try_elsewhere(state, *session, result, now);
+    } else if (session->transaction) {
+        fail_in_transaction(state, *session, result, now);
+    } else {
+        give_up(state, *session, result.code, result.text, now);
+    }
+}
+
+void lose_runs_at(session_host_state& state, const host_id& host, instant now) {
+    state.broken_links[host] = now;
+    std::vector<run_id> lost;
+    for (const auto& [run, id] : state.runs) {
+        const auto session = state.sessions.find(id);
+        if (session != state.sessions.end() && session->second.operation && session->second.operation->run == run &&
+            session->second.operation->target.host == host) {
+            lost.push_back(run);
+        }
+    }
+    for (const auto run : lost) {
+        lose_run(state, run, run_outcome::lost, "the link to the endpoint's owner broke", now);
+    }
+}
+
+void return_unsent_run(session_host_state& state, run_id run, instant now) {
+    lose_run(state, run, run_outcome::not_run, "the endpoint's owner cannot be reached", now);
+}
+
+void retry_waiting(session_host_state& state, instant now) {
+    const auto waiting = state.waiting_sessions;
+    for (const auto id : waiting) {
+        const auto found = state.sessions.find(id);
+        if (found == state.sessions.end() || !found->second.operation) {
+            state.waiting_sessions.erase(id);
+            continue;
+        }
+        auto& session = found->second;
+        auto& operation = *session.operation;
+        if (operation.stage == operation_stage::waiting_for_tokens) {
+            if (take_tokens(state, operation, now)) {
+                state.waiting_sessions.erase(id);
+                admit(state, session, now);
+            } else if (now - operation.arrived >= state.settings.entry.token_wait) {
+                give_up(state, session, result_code::busy, "the workspace's rate and burst are used up", now);
+            }
+        } else if (operation.stage == operation_stage::waiting_for_leader && now >= operation.not_before) {
+            dispatch(state, session, now);
+        }
+    }
+}
+
+void entry_tick(session_host_state& state, instant now) {
+    std::vector<run_id> late;
+    for (const auto& [run, id] : state.runs) {
+        const auto session = state.sessions.find(id);
+        if (session == state.sessions.end() || !session->second.operation || session->second.operation->run != run) {
+            late.push_back(run);
+            continue;
+        }
+        const auto& operation = *session->second.operation;
+        const auto limit = patience_of(operation.access.policy) + operation.access.policy.statement_timeout +
+                           state.settings.entry.reply_margin;
+        if (operation.stage == operation_stage::running && now - operation.sent >= limit) {
+            late.push_back(run);
+        }
+    }
+    for (const auto run : late) {
+        lose_run(state, run, run_outcome::lost, "the endpoint's owner did not answer in time", now);
+    }
+    std::erase_if(state.questions_sent, [&](const auto& item) {
+        const bool over = now - item.second >= question_time * 3;
+        if (over) {
+            state.sample_questions.erase(item.first);
+        }
+        return over;
+    });
+    retry_waiting(state, now);
+    ask_for_positions(state, now);
+    end_idle_transactions(state, now);
+    for (auto& returned : due_returns(state.shares, now)) {
+        send_peer(state, returned.receiver, std::move(returned.grant));
+    }
+    request_loans(state, now);
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/session_host/session_answers.cpp
@@ -0,0 +1,96 @@
+#include "camphorstack/session_host/session_answers.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace camphorstack {
+
+namespace {
+
+/// Regions in which both the route and the workspace may run.
+void limit_regions(session_access& access, const std::vector<std::string>& route, const std::vector<std::string>& own) {
+    access.in_regions_only = !route.empty() || !own.empty();
+    auto first = route.empty() ? own : route;
+    auto second = own.empty() ? route : own;
+    std::ranges::sort(first);
+    std::ranges::sort(second);
+    std::ranges::set_intersection(first, second, std::back_inserter(access.regions));
+}
+
+}  // namespace
+
+void answer_done(session_host_state& state, caller_session& session) {
+    answer_statement answer;
+    answer.session = session.id;
+    answer.state = session.state;
+    state.actions.emplace_back(std::move(answer));
+}
+
+void answer_error(session_host_state& state, caller_session& session, result_code code, const std::string& text) {
+    answer_statement answer;
+    answer.session = session.id;
+    answer.code = code;
+    answer.text = text;
+    answer.state = session.state;
+    state.actions.emplace_back(std::move(answer));
+}
+
+void fail_statement(session_host_state& state, caller_session& session, result_code code, const std::string& text, instant now) {
+    if (session.state != session_state::idle) {
+        leave_transaction(state, session, now);
+        session.state = session_state::failed;
+    }
+    answer_error(state, session, code, text);
+}
+
+void answer_result(session_host_state& state, caller_session& session, const run_result& result) {
+    answer_statement answer;
+    answer.session = session.id;
+    answer.code = result.code;
+    answer.text = result.text;
+    answer.rows = result.rows;
+    answer.proof = result.proof;
+    answer.state = session.state;
+    answer.position = result.position;
+    state.actions.emplace_back(std::move(answer));
+}
+
+void leave_transaction(session_host_state& state, caller_session& session, instant now) {
+    if (session.transaction && session.transaction->target) {
+        const auto& host = session.transaction->target->host;
+        if (host == state.settings.self.id) {
+            end_transaction(state.executor, {host, session.transaction->number}, now);
+        } else {
+            send_peer(state, host, transaction_left{session.transaction->number});
+        }
+    }
+    session.transaction.reset();
+    session.state = session_state::idle;
+}
+
+std::variant<session_access, refused_access> find_access(const session_host_state& state, const caller_session& session) {
+    const auto& content = *state.catalog.content;
+    const auto found = state.catalog.route_by_database.find(session.database);
+    if (found == state.catalog.route_by_database.end()) {
+        return refused_access{result_code::no_database, "no route leads to this database"};
+    }
+    const auto& path = content.routes[found->second];
+    session_access access;
+    access.database = path.service;
+    access.policy = path.sessions;
+    std::vector<std::string> workspace_regions;
+    if (path.sessions.needs_key) {
+        const auto owner = state.catalog.workspace_by_key.find(session.key_sha256);
+        if (owner == state.catalog.workspace_by_key.end()) {
+            return refused_access{result_code::not_authorized, "the key is not known or was withdrawn"};
+        }
+        access.workspace = owner->second;
+        if (const auto* own = find_workspace(content, owner->second); own != nullptr) {
+            workspace_regions = own->regions;
+        }
+    }
+    limit_regions(access, path.sessions.regions, workspace_regions);
+    return access;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -0,0 +1,270 @@
+#include "camphorstack/session_host/session_host.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+#include "camphorstack/coordination/coordinator.hpp"
+#include "camphorstack/session_host/catalog_news.hpp"
+#include "camphorstack/session_host/entry.hpp"
+#include "camphorstack/session_host/session_host_state.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+/// Ticks while requests are in flight, and otherwise.
+constexpr millis busy_tick{20};
+constexpr millis idle_tick{50};
+/// A stopping host leaves this much of its grace unused.
+constexpr millis stop_margin{700};
+
+void take_catalog_calls(session_host_state& state, instant now) {
+    for (auto& watch : state.catalog.watches) {
+        const bool was_reachable = watch.reachable;
+        for (auto& call : due_calls(watch, state.next_call, now)) {
+            state.actions.emplace_back(std::move(call));
+        }
+        if (was_reachable && !watch.reachable) {
+            log_decision(state, "store_lost", std::string("collection=") + to_string(watch.of), true);
+        }
+    }
+}
+
+void note_serving(session_host_state& state, instant now) {
+    const bool serves = may_serve(state, now);
+    if (serves == state.serving) {
+        return;
+    }
+    state.serving = serves;
+    const auto age = evidence_age(state, collection::document, now);
+    log_decision(state, serves ? "serving_started" : "serving_stopped",
+                 "document=" + std::to_string(state.catalog.content->version) +
+                     " evidence_ms=" + (age ? std::to_string(age->count) : "none"));
+}
+
+void stop_tick(session_host_state& state, instant now) {
+    if (!state.stopping || state.stopped) {
+        return;
+    }
+    const auto spent = now - state.stop_requested_at;
+    if (spent >= state.settings.entry.idle_limit_of_stop) {
+        close_idle_sessions(state, now);
+    }
+    const bool drained = state.sessions.empty() && open_runs(state.executor) == 0;
+    if (drained || spent >= state.settings.stop_grace - stop_margin) {
+        state.stopped = true;
+        announce_end(state);
+        log_decision(state, "stopped", "sessions=" + std::to_string(state.sessions.size()) +
+                                           " runs=" + std::to_string(open_runs(state.executor)));
+        state.actions.emplace_back(host_stopped{});
+    }
+}
+
+void tick_all(session_host_state& state, instant now) {
+    take_catalog_calls(state, now);
+    renew_leader_rights(state, now);
+    executor_tick(state.executor, now);
+    entry_tick(state, now);
+    duty_tick(state, now);
+    members_tick(state, now);
+    closing_tick(state, now);
+    leaders_tick(state, now);
+    note_serving(state, now);
+    stop_tick(state, now);
+}
+
+/// Delivers the executor's actions and results until there are none.
+void drain_executor(session_host_state& state, instant now) {
+    while (!state.executor.results.empty()) {
+        for (auto& item : std::exchange(state.executor.results, {})) {
+            if (item.origin != state.settings.self.id) {
+                send_peer(state, item.origin, std::move(item.result));
+            } else if (!receive_status_result(state, item.result, now)) {
+                receive_run_result(state, item.result, now);
+            }
+        }
+    }
+    for (auto& action : std::exchange(state.executor.actions, {})) {
+        std::visit([&state](auto& chosen) { state.actions.emplace_back(std::move(chosen)); }, action);
+    }
+}
+
+void receive_catalog_answer(session_host_state& state, const catalog_answer& answer, instant now) {
+    for (auto& watch : state.catalog.watches) {
+        if (!owns_call(watch, answer.id)) {
+            continue;
+        }
+        const bool was_reachable = watch.reachable;
+        const auto before = watch.evidence;
+        const auto news = receive_answer(watch, answer, now);
+        if (watch.reachable != was_reachable) {
+            log_decision(state, watch.reachable ? "store_reached" : "store_lost",
+                         std::string("collection=") + to_string(watch.of) + " status=" + to_string(answer.status),
+                         !watch.reachable);
+        }
+        if (news) {
+            apply_news(state, watch.of, *news, now);
+        }
+        if (watch.of == collection::fleet && watch.evidence != before) {
+            renew_leader_rights(state, now);
+        }
+        take_catalog_calls(state, now);
+        if (news) {
+            duty_tick(state, now);
+            closing_tick(state, now);
+            leaders_tick(state, now);
+            retry_waiting(state, now);
+        }
+        return;
+    }
+    receive_record_answer(state, answer, now);
+}
+
+struct peer_visitor {
+    session_host_state& state;
+    const host_id& from;
+    instant now;
+
+    void operator()(const run_request& request) const { submit_run(this->state.executor, this->from, request, this->now); }
+    void operator()(const run_result& result) const {
+        if (!receive_status_result(this->state, result, this->now)) {
+            receive_run_result(this->state, result, this->now);
+        }
+    }
+    void operator()(const transaction_left& message) const {
+        end_transaction(this->state.executor, {this->from, message.transaction}, this->now);
+    }
+    void operator()(const membership_report& report) const {
+        receive_membership_report(this->state, this->from, report, this->now);
+    }
+    void operator()(const membership_answer& answer) const {
+        receive_membership_answer(this->state, this->from, answer, this->now);
+    }
+    void operator()(const leader_closed& message) const {
+        receive_leader_closed(this->state, this->from, message);
+        leaders_tick(this->state, this->now);
+    }
+    void operator()(const loan_request& request) const {
+        send_peer(this->state, this->from, grant_loan(this->state.shares, this->from, request, this->now));
+    }
+    void operator()(const loan_grant& grant) const {
+        receive_loan(this->state.shares, this->from, grant, this->now);
+        retry_waiting(this->state, this->now);
+    }
+    /// Messages between hosts that serve single requests do not concern a session host.
+    template <typename Body>
+    void operator()(const Body& /*body*/) const {}
+};
+
+struct session_event_visitor {
+    session_host_state& state;
+    instant now;
+
+    void operator()(const tick& /*event*/) const { tick_all(this->state, this->now); }
+    void operator()(const session_requested& event) const { receive_session(this->state, event, this->now); }
+    void operator()(const statement_received& event) const { receive_statement(this->state, event, this->now); }
+    void operator()(const session_left& event) const { receive_session_left(this->state, event, this->now); }
+    void operator()(const endpoint_session_opened& event) const { on_session_opened(this->state.executor, event, this->now); }
+    void operator()(const endpoint_session_ended& event) const { on_session_ended(this->state.executor, event, this->now); }
+    void operator()(const endpoint_session_replied& event) const { on_session_replied(this->state.executor, event, this->now); }
+    void operator()(const catalog_answer& answer) const { receive_catalog_answer(this->state, answer, this->now); }
+    void operator()(const promotion_answer& answer) const { receive_promotion_answer(this->state, answer, this->now); }
+    void operator()(const peer_message& message) const {
+        std::visit(peer_visitor{this->state, message.from, this->now}, message.body);
+    }
+    void operator()(const peer_connected& event) const { this->state.broken_links.erase(event.peer); }
+    void operator()(const peer_disconnected& event) const {
+        log_decision(this->state, "peer_lost", "host=" + event.peer, true);
+        lose_runs_at(this->state, event.peer, this->now);
+        drop_origin(this->state.executor, event.peer, this->now);
+        note_broken_link(this->state, event.peer, this->now);
+    }
+    void operator()(const peer_not_sent& event) const {
+        this->state.broken_links[event.peer] = this->now;
+        if (const auto* request = std::get_if<run_request>(&event.body)) {
+            return_unsent_run(this->state, request->id, this->now);
+        }
+    }
+    void operator()(const stop_requested& /*event*/) const {
+        if (!this->state.stopping) {
+            this->state.stopping = true;
+            this->state.stop_requested_at = this->now;
+            this->state.coordination.next_report = this->now;
+            log_decision(this->state, "stop_requested", "sessions=" + std::to_string(this->state.sessions.size()));
+            duty_tick(this->state, this->now);
+        }
+    }
+};
+
+}  // namespace
+
+void session_host_state_deleter::operator()(session_host_state* state) const {
+    delete state;
+}
+
+session_host_handle make_session_host(session_host_settings settings, random_source random, instant now) {
+    session_host_handle host(new session_host_state);
+    host->random = random;
+    host->executor.settings = settings.executor;
+    host->shares.self = settings.self.id;
+    host->shares.settings = settings.shares;
+    host->shares.next_sequence = host->random() >> 1U;
+    // Ids of an earlier process of this host must not be taken for those of this one.
+    host->next_call = (host->random() >> 16U) + 1;
+    host->coordination.settings = settings.coordination;
+    host->coordination.answered = now;
+    const std::array<collection_watch_settings, collection_count> watches{settings.document_watch, settings.endpoints_watch,
+                                                                          settings.evacuations_watch, settings.fleet_watch};
+    for (std::size_t i = 0; i < watches.size(); ++i) {
+        auto& watch = host->catalog.watches.at(i);
+        watch.of = static_cast<collection>(i);
+        watch.settings = watches.at(i);
+        watch.next_list = now;
+    }
+    host->settings = std::move(settings);
+    return host;
+}
+
+session_host_actions step(session_host_state& state, const session_host_event& event, instant now) {
+    std::visit(session_event_visitor{state, now}, event);
+    drain_executor(state, now);
+    return std::exchange(state.actions, {});
+}
+
+bool is_ready(const session_host_state& state, instant now) {
+    return !state.stopping && may_serve(state, now) && watch_of(state, collection::endpoints).listed &&
+           watch_of(state, collection::fleet).listed;
+}
+
+instant next_tick(const session_host_state& state, instant now) {
+    const bool busy = !state.runs.empty() || !state.waiting_sessions.empty() || open_runs(state.executor) > 0 ||
+                      !state.coordination.changes.empty();
+    return now + (busy ? busy_tick : idle_tick);
+}
+
+std::string render_counters(const session_host_state& state, instant now) {
+    std::ostringstream out;
+    out << "# HELP camphorstack_operations_total Statements answered, by workspace and outcome.\n"
+        << "# TYPE camphorstack_operations_total counter\n";
+    for (const auto& [workspace, counts] : state.counts) {
+        out << "camphorstack_operations_total{workspace=\"" << workspace << "\",outcome=\"done\"} " << counts.done << '\n';
+        for (const auto& [code, count] : counts.failed) {
+            out << "camphorstack_operations_total{workspace=\"" << workspace << "\",outcome=\"" << to_string(code) << "\"} "
+                << count << '\n';
+        }
+    }
+    out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
+        << "# TYPE camphorstack_endpoint_queue gauge\n";
+    for (const auto& [id, endpoint] : state.executor.endpoints) {
+        out << "camphorstack_endpoint_queue{endpoint=\"" << id << "\"} " << endpoint.queue.size() << '\n'
+            << "camphorstack_endpoint_connections{endpoint=\"" << id << "\"} " << endpoint.connections.size() << '\n';
+    }
+    for (const auto& watch : state.catalog.watches) {
+        const auto age = evidence_age(state, watch.of, now);
+        out << "camphorstack_evidence_age_ms{collection=\"" << to_string(watch.of) << "\"} " << (age ? age->count : -1) << '\n';
+    }
+    return out.str();
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -0,0 +1,92 @@
+#include "camphorstack/session_host/session_host_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorstack {
+
+namespace {
+
+const member* find_member(const std::vector<member>& hosts, const host_id& id) {
+    const auto found = std::ranges::find(hosts, id, &member::id);
+    return found == hosts.end() ? nullptr : &*found;
+}
+
+/// Where a host listens for its peers; empty if it is not known.
+std::string peer_address(const session_host_state& state, const host_id& peer) {
+    if (state.catalog.members) {
+        if (const auto* found = find_member(state.catalog.members->record.list.hosts, peer); found != nullptr) {
+            return found->address;
+        }
+    }
+    if (state.catalog.coordinator && state.catalog.coordinator->record.host.id == peer) {
+        return state.catalog.coordinator->record.host.address;
+    }
+    const auto known = state.coordination.hosts.find(peer);
+    return known == state.coordination.hosts.end() ? std::string() : known->second.report.host.address;
+}
+
+}  // namespace
+
+std::optional<millis> evidence_age(const session_host_state& state, collection of, instant now) {
+    const auto& seen = watch_of(state, of).evidence;
+    return seen ? std::optional(now - *seen) : std::nullopt;
+}
+
+bool may_serve(const session_host_state& state, instant now) {
+    const auto age = evidence_age(state, collection::document, now);
+    return state.catalog.content->version > 0 && age && *age < state.settings.entry.document_lifetime;
+}
+
+std::string region_of(const session_host_state& state, const data_centre_id& location) {
+    const auto found = state.settings.regions.find(location);
+    return found == state.settings.regions.end() ? std::string() : found->second;
+}
+
+bool takes_new_work(const session_host_state& state, const endpoint_entry& endpoint) {
+    return !endpoint.draining && !state.catalog.evacuated.contains(endpoint.location);
+}
+
+bool send_peer(session_host_state& state, const host_id& peer, peer_body body) {
+    auto address = peer_address(state, peer);
+    if (address.empty()) {
+        return false;
+    }
+    state.actions.emplace_back(
+        send_to_peer{peer, std::move(address), peer_message{state.settings.self.id, std::move(body)}});
+    return true;
+}
+
+void log_decision(session_host_state& state, const char* kind, std::string text, bool is_failure) {
+    state.actions.emplace_back(decision_line{kind, std::move(text), is_failure});
+}
+
+void start_run(session_host_state& state, const host_id& host, run_request request, instant now) {
+    if (host == state.settings.self.id) {
+        submit_run(state.executor, host, std::move(request), now);
+        return;
+    }
+    run_result unsent;
+    unsent.id = request.id;
+    unsent.outcome = run_outcome::not_run;
+    unsent.code = result_code::busy;
+    unsent.text = "the address of the endpoint's owner is not known";
+    if (!send_peer(state, host, std::move(request))) {
+        state.executor.results.push_back({state.settings.self.id, std::move(unsent)});
+    }
+}
+
+host_id executor_host(const session_host_state& state, const endpoint_id& endpoint, instant now) {
+    /// A broken link is not tried again for requests earlier than this.
+    constexpr millis broken_link_pause{700};
+    const auto& self = state.settings.self.id;
+    const auto found = state.owners.find(endpoint);
+    if (found == state.owners.end() || found->second == self) {
+        return self;
+    }
+    const auto broken = state.broken_links.find(found->second);
+    const bool is_broken = broken != state.broken_links.end() && now - broken->second < broken_link_pause;
+    return is_broken ? self : found->second;
+}
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/session_host/session_host_task.cpp
@@ -0,0 +1,89 @@
+#include "camphorstack/session_host/session_host_task.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorstack {
+
+namespace {
+
+constexpr guint drain_check_interval_ms = 20;
+/// A caller that does not read its answer holds the process up no longer than this.
+constexpr millis drain_time{500};
+
+}  // namespace
+
+session_host_task::session_host_task(session_host_handle decisions, const session_links_factory& make_links, const clock& time,
+                                     std::function<void()> stopped)
+    : host(std::move(decisions)), source_of_time(time), on_stopped(std::move(stopped)), log(time) {
+    this->links = make_links(
+        [this](session_host_event event) { this->on_event(std::move(event)); },
+        session_host_pages{[this]() { return is_ready(*this->host, this->source_of_time.now()); },
+                           [this]() { return render_counters(*this->host, this->source_of_time.now()); }});
+    this->on_event(tick{});
+    this->schedule_tick();
+}
+
+session_host_task::~session_host_task() = default;
+
+void session_host_task::schedule_tick() {
+    const auto now = this->source_of_time.now();
+    const auto wait = std::max<std::int64_t>(1, (next_tick(*this->host, now) - now).count);
+    const auto on_tick = +[](gpointer self) -> gboolean {
+        auto* const task = static_cast<session_host_task*>(self);
+        task->ticker.release();
+        task->on_event(tick{});
+        task->schedule_tick();
+        return G_SOURCE_REMOVE;
+    };
+    this->ticker = g_source_handle(g_timeout_add(static_cast<guint>(wait), on_tick, this));
+}
+
+void session_host_task::on_event(session_host_event event) {
+    this->waiting.push_back(std::move(event));
+    if (this->stepping) {
+        return;
+    }
+    this->stepping = true;
+    while (!this->waiting.empty()) {
+        const session_host_event next = std::move(this->waiting.front());
+        this->waiting.pop_front();
+        for (const auto& action : step(*this->host, next, this->source_of_time.now())) {
+            this->carry_out(action);
+        }
+    }
+    this->stepping = false;
+}
+
+void session_host_task::request_stop() {
+    this->on_event(stop_requested{});
+}
+
+void session_host_task::carry_out(const session_host_action& action) {
+    if (const auto* line = std::get_if<decision_line>(&action)) {
+        this->log.write(line->kind, line->text, line->is_failure);
+    } else if (std::holds_alternative<host_stopped>(action)) {
+        this->on_host_stopped();
+    } else {
+        this->links->carry_out(action);
+    }
+}
+
+void session_host_task::on_host_stopped() {
+    if (this->drain_check.active()) {
+        return;
+    }
+    this->drain_deadline = this->source_of_time.now() + drain_time;
+    const auto on_check = +[](gpointer self) -> gboolean {
+        auto* const task = static_cast<session_host_task*>(self);
+        if (!task->links->is_drained() && task->source_of_time.now() < task->drain_deadline) {
+            return G_SOURCE_CONTINUE;
+        }
+        task->drain_check.release();
+        task->on_stopped();
+        return G_SOURCE_REMOVE;
+    };
+    this->drain_check = g_source_handle(g_timeout_add(drain_check_interval_ms, on_check, this));
+}
+
+}  // namespace camphorstack
