--- /dev/null
+++ b/src/camphorstack/session_host/session_host_task.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "camphorstack/session_host/session_host.hpp"
+#include "camphorstack/session_host/session_links.hpp"
+#include "camphorstack/support/clock.hpp"
+#include "camphorstack/support/decision_log.hpp"
+#include "camphorstack/support/g_pointer.hpp"
+
+namespace camphorstack {
+
+/// Runs one session host on the main loop: feeds it events and ticks, and carries out its actions. Events that arrive during a
+/// step wait until it has ended.
+class session_host_task {
+public:
+    /// `stopped` is called once, from the main loop, when the host has nothing left to do. Links that cannot be opened throw
+    /// io_error. `time` must outlive the task.
+    session_host_task(session_host_handle decisions, const session_links_factory& make_links, const clock& time,
+                      std::function<void()> stopped);
+    session_host_task(const session_host_task&) = delete;
+    session_host_task& operator=(const session_host_task&) = delete;
+    session_host_task(session_host_task&&) = delete;
+    session_host_task& operator=(session_host_task&&) = delete;
+    ~session_host_task();
+
+    void on_event(session_host_event event);
+    void request_stop();
+
+private:
+    void carry_out(const session_host_action& action);
+    void schedule_tick();
+    void on_host_stopped();
+
+    session_host_handle host;
+    const clock& source_of_time;
+    std::function<void()> on_stopped;
+    decision_log log;
+    std::deque<session_host_event> waiting;
+    bool stepping = false;
+    std::unique_ptr<session_links> links;
+    g_source_handle ticker;
+    g_source_handle drain_check;
+    instant drain_deadline;
+};
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/session_host/session_links.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "camphorstack/session_host/session_host_events.hpp"
+
+namespace camphorstack {
+
+/// Delivers an event to the session host's task. Called on the main loop's thread, never from inside a call into a link.
+using session_event_sink = std::function<void(session_host_event)>;
+
+/// What links ask the host's task.
+struct session_host_pages {
+    std::function<bool()> is_ready;
+    std::function<std::string()> metrics;
+};
+
+/// What carries out a session host's actions on sockets. Called on the main loop's thread, never while it is inside one of its
+/// own calls.
+class session_links {
+public:
+    session_links() = default;
+    session_links(const session_links&) = delete;
+    session_links& operator=(const session_links&) = delete;
+    session_links(session_links&&) = delete;
+    session_links& operator=(session_links&&) = delete;
+    virtual ~session_links() = default;
+
+    virtual void carry_out(const session_host_action& action) = 0;
+    /// True once every answer to a caller has been written.
+    [[nodiscard]] virtual bool is_drained() const = 0;
+};
+
+/// Makes the links of a session host, given where their events go.
+using session_links_factory = std::function<std::unique_ptr<session_links>(session_event_sink, session_host_pages)>;
+
+}  // namespace camphorstack
--- /dev/null
+++ b/src/camphorstack/settings/parse_session_settings.cpp
@@ -0,0 +1,86 @@
+#include <glib.h>
+
+#include <algorithm>
+
+#include "camphorstack/settings/daemon_settings.hpp"
+#include "camphorstack/settings/session_settings.hpp"
+#include "camphorstack/settings/settings_reader.hpp"
+
+namespace camphorstack {
+
+namespace {
+
+constexpr std::size_t shortest_secret = 16;
+constexpr millis one_millisecond{1};
+/// A request with a key is refused once the document's evidence is older than this part of the time in which a withdrawn key must
+/// stop working; the rest covers a store that is late with a change.
+constexpr std::int64_t evidence_share_percent = 58;
+constexpr std::int64_t percent = 100;
+
+void read_regions(settings_reader& reader, session_host_settings& target) {
+    const YAML::Node centres = reader.child("data_centres");
+    if (!centres.IsDefined() || !centres.IsMap()) {
+        reader.fail("data_centres", "must map each data centre to its region");
+        return;
+    }
+    for (const auto& entry : centres) {
+        target.regions[entry.first.as<std::string>()] = entry.second.as<std::string>();
+    }
+}
+
+session_settings read_session_root(const YAML::Node& root, settings_errors& errors) {
+    session_settings result;
+    settings_reader reader{errors, root, ""};
+    auto& host = result.host;
+    host.self = {reader.required_id("id"), reader.required_address("peer_address"), reader.required_address("callers_address"),
+                 reader.required_id("data_centre")};
+    result.readiness_address = reader.required_address("readiness_address");
+    result.metrics_address = reader.required_address("metrics_address");
+    result.store_address = reader.required_address("store_address");
+    result.promotion_address = reader.required_address("promotion_address");
+    result.fleet_secret = reader.required_secret("fleet_secret", shortest_secret);
+    read_regions(reader, host);
+    millis key_withdrawal{5000};
+    reader.duration("stop_grace", one_millisecond, host.stop_grace);
+    reader.duration("key_withdrawal", one_millisecond, key_withdrawal);
+    host.entry.document_lifetime = key_withdrawal * evidence_share_percent / percent;
+    reader.reject_unknown_keys();
+    if (host.regions.find(host.self.location) == host.regions.end() && errors.lines.empty()) {
+        reader.fail("data_centre", "is not among data_centres");
+    }
+    return result;
+}
+
+}  // namespace
+
+bool is_session_settings(const std::string& text) {
+    try {
+        const YAML::Node root = YAML::Load(text);
+        return root.IsMap() && root["callers_address"].IsDefined();
+    } catch (const YAML::Exception&) {
+        return false;
+    }
+}
+
+session_settings parse_session_settings(const std::string& text, const std::string& file) {
+    settings_errors errors{file, {}};
+    session_settings result;
+    try {
+        if (g_utf8_validate(text.data(), static_cast<gssize>(text.size()), nullptr) == FALSE) {
+            errors.add(1, "text is not valid UTF-8");
+            errors.throw_if_any();
+        }
+        const YAML::Node root = YAML::Load(text);
+        if (root.IsMap()) {
+            result = read_session_root(root, errors);
+        } else {
+            errors.add(1, "must be a mapping of settings");
+        }
+    } catch (const YAML::Exception& failure) {
+        errors.add(failure.mark.line + 1, "not valid YAML: " + failure.msg);
+    }
+    errors.throw_if_any();
+    return result;
+}
+
+}  // namespace camphorstack
--- a/src/camphorstack/support/clock.cpp
+++ b/src/camphorstack/support/clock.cpp
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include <ctime>
+
 namespace camphorstack {
 
 instant monotonic_clock::now() const {
@@ -9,4 +11,12 @@
     return instant{g_get_monotonic_time() / microseconds_per_millisecond};
 }
 
+instant suspend_aware_clock::now() const {
+    constexpr std::int64_t milliseconds_per_second = 1000;
+    constexpr std::int64_t nanoseconds_per_millisecond = 1'000'000;
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return instant{time.tv_sec * milliseconds_per_second + time.tv_nsec / nanoseconds_per_millisecond};
+}
+
 }  // namespace camphorstack
--- a/src/camphorstack/support/clock.hpp
+++ b/src/camphorstack/support/clock.hpp
@@ -56,4 +56,11 @@
     [[nodiscard]] instant now() const override;
 };
 
+/// The machine's monotonic clock, which also counts the time that the machine was suspended. Rights that end by themselves are
+/// measured with it: a suspended host must not find them still valid when it wakes.
+class suspend_aware_clock final : public clock {
+public:
+    [[nodiscard]] instant now() const override;
+};
+
 }  // namespace camphorstack
