--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -15,6 +15,7 @@
     millis read_interval;   ///< Between plain reads of the whole collection; 0 if only watched.
     millis answer_timeout;  ///< Beyond the time that the store may take.
     millis retry_interval;  ///< After a failed call.
+    millis evidence_limit;  ///< The collection is read anew when the evidence is older, as a watch may be silent; 0 for never.
 
     friend bool operator==(const collection_watch_settings&, const collection_watch_settings&) = default;
 };
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -93,7 +93,7 @@
     request.patience = state.coordination.settings.status_time;
     change.questions[endpoint] = {request.id, now};
     state.coordination.questions[request.id] = {change.record.database, endpoint};
-    start_run(state, executor_host(state, endpoint, now), std::move(request), now);
+    start_run(state, executor_host(state, endpoint), std::move(request), now);
 }
 
 void ask_all(session_host_state& state, leader_change& change, const std::vector<endpoint_id>& endpoints, instant now) {
--- a/src/camphorstack/session_host/catalog_news.cpp
+++ b/src/camphorstack/session_host/catalog_news.cpp
@@ -160,6 +160,18 @@
     return found == nullptr ? 0 : found->connections_per_endpoint;
 }
 
+/// Members that the coordinator reaches.
+std::vector<member> possible_owners(const session_host_state& state) {
+    std::vector<member> hosts;
+    if (state.catalog.members) {
+        const auto& record = state.catalog.members->record;
+        std::ranges::copy_if(record.list.hosts, std::back_inserter(hosts), [&](const member& host) {
+            return !std::ranges::binary_search(record.unreachable, host.id);
+        });
+    }
+    return hosts;
+}
+
 }  // namespace
 
 void adopt_fleet_item(session_host_state& state, const catalog_item& item, instant now) {
@@ -209,16 +221,16 @@
     }
 }
 
+void renew_substitutes(session_host_state& state) {
+    auto hosts = possible_owners(state);
+    std::erase_if(hosts, [&](const member& host) { return state.broken_links.contains(host.id); });
+    state.substitutes = choose_endpoint_owners(state.catalog.endpoints, hosts);
+}
+
 void renew_endpoint_shares(session_host_state& state, instant now) {
     const auto& settings = state.settings;
-    std::vector<member> owners;
-    if (state.catalog.members) {
-        const auto& record = state.catalog.members->record;
-        std::ranges::copy_if(record.list.hosts, std::back_inserter(owners), [&](const member& host) {
-            return !std::ranges::binary_search(record.unreachable, host.id);
-        });
-    }
-    state.owners = choose_endpoint_owners(state.catalog.endpoints, owners);
+    state.owners = choose_endpoint_owners(state.catalog.endpoints, possible_owners(state));
+    renew_substitutes(state);
     std::map<endpoint_id, endpoint_share> shares;
     for (const auto& [id, entry] : state.catalog.endpoints) {
         const auto owner = state.owners.find(id);
--- a/src/camphorstack/session_host/catalog_news.hpp
+++ b/src/camphorstack/session_host/catalog_news.hpp
@@ -13,6 +13,9 @@
 /// Recomputes owners and what this host may use each endpoint for.
 void renew_endpoint_shares(session_host_state& state, instant now);
 
+/// Recomputes the hosts that stand in for owners that this host does not reach.
+void renew_substitutes(session_host_state& state);
+
 /// Recomputes the right to use each leader from the records and the age of their evidence.
 void renew_leader_rights(session_host_state& state, instant now);
 
--- a/src/camphorstack/session_host/entry.cpp
+++ b/src/camphorstack/session_host/entry.cpp
@@ -118,9 +118,12 @@
     const auto access = find_access(state, session);
     const auto* refused = std::get_if<refused_access>(&access);
     const bool known = state.catalog.content->version > 0;
-    if (!known || refused != nullptr) {
-        const auto code = known ? refused->code : result_code::busy;
-        const auto text = known ? refused->text : "this host knows no document yet";
+    // A session that began now would be cut off when the process ends.
+    const bool ends = state.stopping && now - state.stop_requested_at >= state.settings.entry.idle_limit_of_stop;
+    if (!known || ends || refused != nullptr) {
+        const auto code = known && !ends ? refused->code : result_code::busy;
+        const char* const unable = ends ? "this host is about to end" : "this host knows no document yet";
+        const std::string text = known && !ends ? refused->text : unable;
         log_decision(state, "session_refused",
                      "database=" + event.database + " code=" + to_string(code) +
                          " document=" + std::to_string(state.catalog.content->version),
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -14,6 +14,9 @@
 /// Part of a route's target latency that an operation may wait for a slot.
 constexpr std::int64_t patience_divisor = 2;
 constexpr millis least_patience{60};
+/// Runs of one operation that are refused at once could otherwise follow each other without end. Three endpoints, and one of them
+/// by another way.
+constexpr int most_attempts = 4;
 /// Questions to a primary for its position are given up after this time.
 constexpr millis question_time{400};
 
@@ -82,6 +85,7 @@
     }
     operation.stage = operation_stage::waiting_for_leader;
     operation.not_before = not_before;
+    operation.tried.clear();
     state.waiting_sessions.insert(session.id);
 }
 
@@ -90,6 +94,7 @@
     auto& operation = *session.operation;
     operation.stage = operation_stage::running;
     operation.target = target;
+    ++operation.attempts;
     operation.sent = now;
     operation.run = state.next_call++;
     state.waiting_sessions.erase(session.id);
@@ -130,7 +135,7 @@
         return;
     }
     if (needs_leader(session, operation)) {
-        if (const auto target = leader_target(state, operation.access, now)) {
+        if (const auto target = leader_target(state, operation.access)) {
             send_run(state, session, *target, std::nullopt, now);
         } else {
             wait_for_leader(state, session, now, now);
@@ -140,7 +145,6 @@
     if (const auto plan = choose_read(state, session, operation, now)) {
         send_run(state, session, plan->target, plan->after, now);
     } else {
-        operation.tried.clear();
         wait_for_leader(state, session, now + state.settings.entry.leader_retry, now);
     }
 }
@@ -255,7 +259,8 @@
     const bool harmless = result.outcome == run_outcome::not_run ||
                           (result.outcome == run_outcome::lost && operation.kind == run_kind::read && !session.transaction);
     const auto spent = now - operation.arrived;
-    return !begun && harmless && spent < std::max(patience_of(policy), state.settings.entry.leader_wait);
+    const bool waits_for_leader = operation.target.round != 0 && result.code == result_code::read_only;
+    return !begun && harmless && (operation.attempts < most_attempts || waits_for_leader) && spent < std::max(patience_of(policy), state.settings.entry.leader_wait);
 }
 
 /// The run had no effect or was a read. Tries elsewhere if there is a chance.
@@ -267,7 +272,8 @@
     }
     state.runs.erase(operation.run);
     operation.tried.insert(operation.target.endpoint);
-    if (at_leader && (result.code == result_code::read_only || needs_leader(session, operation))) {
+    const bool only_leader = operation.access.policy.reads == consistency::primary || needs_leader(session, operation);
+    if (at_leader && (result.code == result_code::read_only || only_leader)) {
         const bool is_full = result.code == result_code::busy && result.wait > millis{0};
         if (is_full) {
             give_up(state, session, result_code::busy, result.text, now);
@@ -332,7 +338,7 @@
         }
         session_access access;
         access.database = database;
-        const auto target = leader_target(state, access, now);
+        const auto target = leader_target(state, access);
         if (!target || state.catalog.content->workspaces.empty()) {
             continue;
         }
@@ -419,7 +425,6 @@
 }
 
 void lose_runs_at(session_host_state& state, const host_id& host, instant now) {
-    state.broken_links[host] = now;
     std::vector<run_id> lost;
     for (const auto& [run, id] : state.runs) {
         const auto session = state.sessions.find(id);
--- a/src/camphorstack/session_host/routing.cpp
+++ b/src/camphorstack/session_host/routing.cpp
@@ -63,9 +63,8 @@
 namespace {
 
 /// The host that runs the operation at the endpoint. Its body must not reach a host in a region that is not allowed.
-host_id allowed_executor(const session_host_state& state, const session_access& access, const endpoint_id& endpoint,
-                         instant now) {
-    const auto host = executor_host(state, endpoint, now);
+host_id allowed_executor(const session_host_state& state, const session_access& access, const endpoint_id& endpoint) {
+    const auto host = executor_host(state, endpoint);
     if (host == state.settings.self.id || !state.catalog.members) {
         return state.settings.self.id;
     }
@@ -76,7 +75,7 @@
 
 }  // namespace
 
-std::optional<run_target> leader_target(const session_host_state& state, const session_access& access, instant now) {
+std::optional<run_target> leader_target(const session_host_state& state, const session_access& access) {
     const auto* leader = serving_leader(state, access.database);
     if (leader == nullptr) {
         return std::nullopt;
@@ -85,14 +84,14 @@
     if (found == state.catalog.endpoints.end() || !may_run_in(state, access, found->second.location)) {
         return std::nullopt;
     }
-    return run_target{leader->endpoint, allowed_executor(state, access, leader->endpoint, now), leader->round};
+    return run_target{leader->endpoint, allowed_executor(state, access, leader->endpoint), leader->round};
 }
 
 std::optional<read_plan> choose_read(session_host_state& state, const caller_session& session, const open_operation& operation,
                                      instant now) {
     const auto& access = operation.access;
     const bool leader_only = access.policy.reads == consistency::primary || operation.at_leader;
-    const auto leader = leader_target(state, access, now);
+    const auto leader = leader_target(state, access);
     std::optional<read_plan> best;
     auto best_cost = millis{0};
     const auto consider = [&](read_plan plan, millis penalty) {
@@ -105,7 +104,7 @@
             best_cost = cost;
         }
     };
-    if (leader && (leader_only || !operation.tried.contains(leader->endpoint))) {
+    if (leader && !operation.tried.contains(leader->endpoint)) {
         consider({*leader, std::nullopt}, leader_cost);
     }
     if (leader_only) {
@@ -122,7 +121,7 @@
             !may_run_in(state, access, entry.location)) {
             continue;
         }
-        consider({run_target{id, allowed_executor(state, access, id, now), 0}, position}, millis{0});
+        consider({run_target{id, allowed_executor(state, access, id), 0}, position}, millis{0});
     }
     return best;
 }
--- a/src/camphorstack/session_host/routing.hpp
+++ b/src/camphorstack/session_host/routing.hpp
@@ -10,8 +10,7 @@
 [[nodiscard]] bool may_run_in(const session_host_state& state, const session_access& access, const data_centre_id& location);
 
 /// The database's leader, if it may be used now for the operation.
-[[nodiscard]] std::optional<run_target> leader_target(const session_host_state& state, const session_access& access,
-                                                      instant now);
+[[nodiscard]] std::optional<run_target> leader_target(const session_host_state& state, const session_access& access);
 
 /// A read's endpoint and the position that its log must reach.
 struct read_plan {
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -43,6 +43,20 @@
                      " evidence_ms=" + (age ? std::to_string(age->count) : "none"));
 }
 
+/// Requests avoid a peer whose link is broken, so something else must find out when it can be reached again.
+void try_broken_links(session_host_state& state, instant now) {
+    constexpr millis retry_interval{500};
+    std::erase_if(state.broken_links, [&](const auto& item) {
+        return std::ranges::find(listed_members(state), item.first, &member::id) == listed_members(state).end();
+    });
+    for (auto& [peer, tried] : state.broken_links) {
+        if (now - tried >= retry_interval) {
+            tried = now;
+            send_peer(state, peer, membership_answer{false});
+        }
+    }
+}
+
 void stop_tick(session_host_state& state, instant now) {
     if (!state.stopping || state.stopped) {
         return;
@@ -51,7 +65,8 @@
     if (spent >= state.settings.entry.idle_limit_of_stop) {
         close_idle_sessions(state, now);
     }
-    const bool drained = state.sessions.empty() && open_runs(state.executor) == 0;
+    const bool drained =
+        spent >= state.settings.entry.idle_limit_of_stop && state.sessions.empty() && open_runs(state.executor) == 0;
     if (drained || spent >= state.settings.stop_grace - stop_margin) {
         state.stopped = true;
         announce_end(state);
@@ -67,6 +82,7 @@
     executor_tick(state.executor, now);
     entry_tick(state, now);
     duty_tick(state, now);
+    try_broken_links(state, now);
     members_tick(state, now);
     closing_tick(state, now);
     leaders_tick(state, now);
@@ -173,19 +189,30 @@
     void operator()(const peer_message& message) const {
         std::visit(peer_visitor{this->state, message.from, this->now}, message.body);
     }
-    void operator()(const peer_connected& event) const { this->state.broken_links.erase(event.peer); }
+    void operator()(const peer_connected& event) const {
+        if (this->state.broken_links.erase(event.peer) != 0) {
+            log_decision(this->state, "peer_regained", "host=" + event.peer);
+            renew_substitutes(this->state);
+        }
+    }
     void operator()(const peer_disconnected& event) const {
-        log_decision(this->state, "peer_lost", "host=" + event.peer, true);
+        this->note_unreachable(event.peer);
         lose_runs_at(this->state, event.peer, this->now);
         drop_origin(this->state.executor, event.peer, this->now);
         note_broken_link(this->state, event.peer, this->now);
     }
     void operator()(const peer_not_sent& event) const {
-        this->state.broken_links[event.peer] = this->now;
+        this->note_unreachable(event.peer);
         if (const auto* request = std::get_if<run_request>(&event.body)) {
             return_unsent_run(this->state, request->id, this->now);
         }
     }
+    void note_unreachable(const host_id& peer) const {
+        if (this->state.broken_links.try_emplace(peer, this->now).second) {
+            log_decision(this->state, "peer_lost", "host=" + peer, true);
+            renew_substitutes(this->state);
+        }
+    }
     void operator()(const stop_requested& /*event*/) const {
         if (!this->state.stopping) {
             this->state.stopping = true;
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -38,10 +38,10 @@
     millis stop_grace{6000};                                ///< From the request to stop until the process is killed.
     int spare_connections = 3;       ///< Of each endpoint's connections, left to hosts that cannot reach its owner.
     std::size_t direct_connections = 1;  ///< To an endpoint that another host owns.
-    collection_watch_settings document_watch{millis{1200}, millis{0}, millis{700}, millis{200}};
-    collection_watch_settings endpoints_watch{millis{3500}, millis{0}, millis{700}, millis{200}};
-    collection_watch_settings evacuations_watch{millis{2500}, millis{0}, millis{700}, millis{200}};
-    collection_watch_settings fleet_watch{millis{8000}, millis{900}, millis{700}, millis{200}};
+    collection_watch_settings document_watch{millis{1200}, millis{0}, millis{700}, millis{300}, millis{1700}};
+    collection_watch_settings endpoints_watch{millis{3500}, millis{0}, millis{700}, millis{300}, millis{0}};
+    collection_watch_settings evacuations_watch{millis{2500}, millis{0}, millis{700}, millis{300}, millis{0}};
+    collection_watch_settings fleet_watch{millis{8000}, millis{900}, millis{700}, millis{200}, millis{0}};
     entry_settings entry;
     executor_settings executor;
     coordination_settings coordination;
--- a/src/camphorstack/session_host/session_host_state.cpp
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -76,17 +76,13 @@
     }
 }
 
-host_id executor_host(const session_host_state& state, const endpoint_id& endpoint, instant now) {
-    /// A broken link is not tried again for requests earlier than this.
-    constexpr millis broken_link_pause{700};
-    const auto& self = state.settings.self.id;
-    const auto found = state.owners.find(endpoint);
-    if (found == state.owners.end() || found->second == self) {
-        return self;
-    }
-    const auto broken = state.broken_links.find(found->second);
-    const bool is_broken = broken != state.broken_links.end() && now - broken->second < broken_link_pause;
-    return is_broken ? self : found->second;
+host_id executor_host(const session_host_state& state, const endpoint_id& endpoint) {
+    const auto find = [&](const std::map<endpoint_id, host_id>& hosts) {
+        const auto found = hosts.find(endpoint);
+        return found == hosts.end() ? state.settings.self.id : found->second;
+    };
+    const auto owner = find(state.owners);
+    return state.broken_links.contains(owner) ? find(state.substitutes) : owner;
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -59,6 +59,7 @@
     std::uint64_t next_call = 1;  ///< Ids of calls to the store and the platform, and of runs and transactions.
     host_catalog catalog;
     std::map<endpoint_id, host_id> owners;
+    std::map<endpoint_id, host_id> substitutes;  ///< Owners if only the hosts counted that this one reaches.
     share_state shares;
     executor_state executor;
     std::map<session_id, caller_session> sessions;
@@ -68,7 +69,7 @@
     std::map<database_id, position_samples> samples;  ///< Of each primary.
     std::map<database_id, instant> samples_wanted;    ///< When a read last needed one.
     std::map<endpoint_id, wait_report> waits;
-    std::map<host_id, instant> broken_links;  ///< When a link to a peer last broke.
+    std::map<host_id, instant> broken_links;  ///< Peers that cannot be reached, and when they were last tried.
     std::set<session_id> waiting_sessions;    ///< Whose operation waits for tokens or for a leader.
     coordination_state coordination;
     std::map<workspace_id, operation_counts> counts;
@@ -107,7 +108,7 @@
 /// Hands a run to the host that runs it.
 void start_run(session_host_state& state, const host_id& host, run_request request, instant now);
 
-/// The host that holds connections to the endpoint, or this one if that host cannot be reached.
-[[nodiscard]] host_id executor_host(const session_host_state& state, const endpoint_id& endpoint, instant now);
+/// The host that holds connections to the endpoint, or another one that can be reached.
+[[nodiscard]] host_id executor_host(const session_host_state& state, const endpoint_id& endpoint);
 
 }  // namespace camphorstack
