Take evidence of the store from the coordinator's answers

Cause: 26 calls a second to the store at rest with 7 hosts; each host polled each collection. Now the coordinator polls, and the others wait for changes and take its evidence with the answers to their reports; they ask themselves only when it gets old.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -17,6 +17,13 @@
     watch.evidence = std::max(watch.evidence.value_or(sent), sent);
 }
 
+void note_revision(collection_watch& watch, store_revision of_store, const std::vector<catalog_item>& items) {
+    watch.seen_revision = std::max(watch.seen_revision, of_store);
+    for (const auto& item : items) {
+        watch.last_change = std::max(watch.last_change, item.revision);
+    }
+}
+
 std::optional<collection_news> receive_list(collection_watch& watch, const catalog_answer& answer, instant sent, instant now) {
     watch.reachable = answer.status == catalog_status::done;
     if (!watch.reachable) {
@@ -44,6 +51,7 @@
         watch.next_watch = now;
     }
     note_evidence(watch, first_sent);
+    note_revision(watch, watch.listing_revision, news.items);
     return news;
 }
 
@@ -60,10 +68,15 @@
     }
     watch.next_watch = now;
     note_evidence(watch, sent);
+    note_revision(watch, answer.revision, answer.items);
     if (answer.items.empty() && answer.removed.empty()) {
         return std::nullopt;
     }
     watch.revision = std::max(watch.revision, answer.revision);
+    if (!answer.removed.empty()) {
+        // When exactly an object went is not told.
+        watch.last_change = std::max(watch.last_change, answer.revision);
+    }
     return collection_news{false, answer.items, answer.removed};
 }
 
@@ -87,9 +100,11 @@
     }
     const bool evidence_old =
         watch.settings.evidence_limit > millis{0} && watch.evidence && now - *watch.evidence >= watch.settings.evidence_limit;
-    const bool list_wanted = !watch.listed || watch.settings.read_interval > millis{0} || !watch.after.empty() || evidence_old;
+    const bool list_wanted =
+        watch.list_wanted || !watch.listed || watch.settings.read_interval > millis{0} || !watch.after.empty() || evidence_old;
     if (list_wanted && !watch.listing && now >= watch.next_list) {
         watch.listing = open_catalog_call{next_id++, now};
+        watch.list_wanted = false;
         calls.push_back({watch.listing->id, watch.of, catalog_operation::list, watch.after, 0, millis{0}, ""});
     }
     if (watch.listed && !watch.watching && now >= watch.next_watch) {
@@ -104,6 +119,18 @@
     return (watch.listing && watch.listing->id == id) || (watch.watching && watch.watching->id == id);
 }
 
+void receive_evidence(collection_watch& watch, const collection_evidence& told, instant asked, instant now) {
+    if (!watch.listed) {
+        return;
+    }
+    if (std::max(watch.seen_revision, watch.last_change) >= told.last_change) {
+        note_evidence(watch, asked - told.age);
+    } else if (!watch.listing) {
+        watch.next_list = now;
+        watch.list_wanted = true;
+    }
+}
+
 std::optional<collection_news> receive_answer(collection_watch& watch, const catalog_answer& answer, instant now) {
     if (watch.listing && watch.listing->id == answer.id) {
         const auto sent = std::exchange(watch.listing, std::nullopt)->sent;
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "camphorstack/catalog/catalog.hpp"
+#include "camphorstack/coordination/coordination_messages.hpp"
 
 namespace camphorstack {
 
@@ -35,8 +36,10 @@
 struct collection_watch {
     collection of = collection::document;
     collection_watch_settings settings;
-    bool listed = false;          ///< The first list is complete.
-    store_revision revision = 0;  ///< Changes up to here are known.
+    bool listed = false;               ///< The first list is complete.
+    store_revision revision = 0;       ///< Changes up to here are known, and watches start from here.
+    store_revision seen_revision = 0;  ///< Of the store, when it was last found to hold nothing newer of the collection.
+    store_revision last_change = 0;    ///< Newest change of the collection that is known.
     store_revision listing_revision = 0;
     std::string after;                  ///< Last name of an incomplete list.
     std::vector<catalog_item> partial;  ///< Items of an incomplete list.
@@ -44,6 +47,7 @@
     std::optional<open_catalog_call> listing;
     std::optional<open_catalog_call> watching;
     instant next_list;
+    bool list_wanted = false;  ///< Another host knows of a change that this one does not.
     instant next_watch;
     std::optional<instant> evidence;  ///< Every change up to this instant of the own clock is known.
     bool reachable = false;           ///< The last call was answered.
@@ -64,6 +68,9 @@
 /// True if the answer belongs to one of the watch's calls.
 [[nodiscard]] bool owns_call(const collection_watch& watch, std::uint64_t id);
 
+/// Takes what another host knows, by an answer to a question that was sent at `asked`. Asks the store anew if that is more.
+void receive_evidence(collection_watch& watch, const collection_evidence& told, instant asked, instant now);
+
 /// Takes an answer. Returns news if there are any.
 std::optional<collection_news> receive_answer(collection_watch& watch, const catalog_answer& answer, instant now);
 
--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -93,9 +93,10 @@
     coordination_settings settings;
     instant next_report;
     std::vector<endpoint_id> reported_suspects;
-    instant answered;  ///< When the report was sent that the coordinator answered last.
-    instant report_sent;
-    std::map<host_id, instant> peers_heard;  ///< When a peer last answered a report, and did not claim the duty.
+    instant answered;                          ///< When the report was sent that the coordinator answered last.
+    std::uint64_t next_sequence = 1;           ///< Of reports.
+    std::map<std::uint64_t, instant> reports;  ///< When each report without an answer was sent, by its sequence.
+    std::map<host_id, instant> peers_heard;    ///< When a peer last answered a report, and did not claim the duty.
     std::optional<std::uint64_t> takeover_call;
     bool is_coordinator = false;
     instant took_over;
--- a/src/camphorstack/coordination/coordination_messages.hpp
+++ b/src/camphorstack/coordination/coordination_messages.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "camphorstack/catalog/catalog.hpp"
 #include "camphorstack/catalog/fleet_record.hpp"
 #include "camphorstack/hosts/member.hpp"
 #include "camphorstack/support/clock.hpp"
@@ -22,13 +23,25 @@
     std::string nonce;  ///< Of the host's process.
     host_stage stage = host_stage::serving;
     std::vector<endpoint_id> suspected;  ///< Endpoints that do not answer this host.
+    std::uint64_t sequence = 0;          ///< Numbers the reports of one process.
 
     friend bool operator==(const membership_report&, const membership_report&) = default;
 };
 
+/// What a host knows of a collection of the store.
+struct collection_evidence {
+    collection of = collection::document;
+    store_revision last_change = 0;  ///< Of the collection, known to the sender.
+    millis age;                      ///< Since the sender asked the store that told it of no later change.
+
+    friend bool operator==(const collection_evidence&, const collection_evidence&) = default;
+};
+
 /// Answer to a report, also by a host that is not the coordinator.
 struct membership_answer {
-    bool coordinates = false;  ///< The sender holds the duty and reaches the store.
+    bool coordinates = false;    ///< The sender holds the duty and reaches the store.
+    std::uint64_t sequence = 0;  ///< Of the report; 0 if this answers none.
+    std::vector<collection_evidence> evidence;
 
     friend bool operator==(const membership_answer&, const membership_answer&) = default;
 };
--- a/src/camphorstack/coordination/duty.cpp
+++ b/src/camphorstack/coordination/duty.cpp
@@ -11,6 +11,8 @@
 constexpr millis claim_limit{1500};
 /// Answers of peers count this long when a host judges whether the coordinator or itself is cut off.
 constexpr millis peer_answer_time{1200};
+/// Reports whose answers are still taken.
+constexpr std::size_t open_reports = 16;
 /// Without answers of most peers, a host that reaches the store takes over after this many times the usual wait: all others may
 /// be gone.
 constexpr std::int64_t alone_factor = 3;
@@ -80,6 +82,17 @@
     return unanswered >= wait && (hears_most_peers(state, now) || unanswered >= wait * alone_factor);
 }
 
+void set_watch_paces(session_host_state& state, const watch_paces& paces, instant now) {
+    for (std::size_t i = 0; i < paces.size(); ++i) {
+        auto& watch = state.catalog.watches.at(i);
+        watch.settings = paces.at(i);
+        watch.next_list = std::min(watch.next_list, now + watch.settings.read_interval);
+        // A watch that waits is given up: its time is that of the former pace. The next one starts from the same revision.
+        watch.watching.reset();
+        watch.next_watch = now;
+    }
+}
+
 void send_reports(session_host_state& state, instant now) {
     auto& duty = state.coordination;
     auto report = make_report(state, now);
@@ -95,7 +108,11 @@
         return;
     }
     const bool is_silent = now - duty.answered >= duty.settings.takeover_after / 2;
-    duty.report_sent = now;
+    report.sequence = duty.next_sequence++;
+    duty.reports[report.sequence] = now;
+    while (duty.reports.size() > open_reports) {
+        duty.reports.erase(duty.reports.begin());
+    }
     send_peer(state, coordinator, report);
     if (is_silent) {
         for (const auto& host : listed_members(state)) {
@@ -132,6 +149,7 @@
         duty.questions.clear();
         duty.members_call.reset();
         duty.next_members = now + duty.settings.gather_time;
+        set_watch_paces(state, holds ? state.settings.coordinator_watches : state.settings.watches, now);
         log_decision(state, holds ? "duty_taken" : "duty_lost", "host=" + state.settings.self.id);
         for (const auto& host : listed_members(state)) {
             if (holds && !duty.hosts.contains(host.id)) {
@@ -178,17 +196,32 @@
         // The coordinator ends: its successor need not wait.
         duty.answered = now - duty.settings.takeover_after;
     }
-    send_peer(state, from, membership_answer{duty.is_coordinator && reaches_store(state, now) && !state.stopping});
+    membership_answer answer{duty.is_coordinator && reaches_store(state, now) && !state.stopping, report.sequence, {}};
+    for (const auto& watch : state.catalog.watches) {
+        if (watch.evidence) {
+            answer.evidence.push_back({watch.of, watch.last_change, now - *watch.evidence});
+        }
+    }
+    send_peer(state, from, std::move(answer));
 }
 
 void receive_membership_answer(session_host_state& state, const host_id& from, const membership_answer& answer, instant now) {
     auto& duty = state.coordination;
     const bool is_coordinator = state.catalog.coordinator && state.catalog.coordinator->record.host.id == from;
-    if (is_coordinator && answer.coordinates) {
-        duty.answered = std::max(duty.answered, duty.report_sent);
-    } else if (!is_coordinator) {
+    if (!is_coordinator) {
         duty.peers_heard[from] = now;
     }
+    const auto report = duty.reports.find(answer.sequence);
+    if (report == duty.reports.end()) {
+        return;
+    }
+    if (is_coordinator && answer.coordinates) {
+        duty.answered = std::max(duty.answered, report->second);
+    }
+    for (const auto& told : answer.evidence) {
+        receive_evidence(watch_of(state, told.of), told, report->second, now);
+    }
+    renew_leader_rights(state, now);
 }
 
 void note_broken_link(session_host_state& state, const host_id& peer, instant now) {
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -226,12 +226,19 @@
         const auto host = write_member(this->out, body.host);
         const auto nonce = this->out.CreateString(body.nonce);
         const auto suspected = this->out.CreateVectorOfStrings(body.suspected);
-        const auto table = wire::CreateMembershipReport(this->out, host, nonce, number(body.stage), suspected);
+        const auto table = wire::CreateMembershipReport(this->out, host, nonce, number(body.stage), suspected, body.sequence);
         return {wire::Body::MembershipReport, table.Union()};
     }
 
     written_body operator()(const membership_answer& body) const {
-        return {wire::Body::MembershipAnswer, wire::CreateMembershipAnswer(this->out, body.coordinates).Union()};
+        std::vector<Offset<wire::CollectionEvidence>> tables;
+        tables.reserve(body.evidence.size());
+        for (const auto& item : body.evidence) {
+            tables.push_back(wire::CreateCollectionEvidence(this->out, number(item.of), item.last_change, item.age.count));
+        }
+        const auto evidence = this->out.CreateVector(tables);
+        const auto table = wire::CreateMembershipAnswer(this->out, body.coordinates, body.sequence, evidence);
+        return {wire::Body::MembershipAnswer, table.Union()};
     }
 
     written_body operator()(const leader_closed& body) const {
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -215,9 +215,21 @@
     report.nonce = this->text(table.nonce());
     report.stage = checked_enum(table.stage(), host_stage::gone);
     report.suspected = this->texts(table.suspected());
+    report.sequence = table.sequence();
     return report;
 }
 
+peer_body peer_frame_reader::read(const wire::MembershipAnswer& table) {
+    membership_answer answer{table.coordinates(), table.sequence(), {}};
+    if (table.evidence() != nullptr) {
+        for (const wire::CollectionEvidence* item : *table.evidence()) {
+            answer.evidence.push_back({checked_enum(present(item).collection(), collection::fleet), item->last_change(),
+                                       millis{not_negative(item->age_ms())}});
+        }
+    }
+    return answer;
+}
+
 peer_body peer_frame_reader::read_body() {
     const wire::Frame& frame = *this->root;
     switch (frame.body_type()) {
@@ -268,7 +280,7 @@
         case wire::Body::MembershipReport:
             return this->read(*frame.body_as_MembershipReport());
         case wire::Body::MembershipAnswer:
-            return membership_answer{frame.body_as_MembershipAnswer()->coordinates()};
+            return this->read(*frame.body_as_MembershipAnswer());
         case wire::Body::LeaderClosed:
             return leader_closed{this->text(frame.body_as_LeaderClosed()->database()), frame.body_as_LeaderClosed()->round()};
         case wire::Body::NONE:
--- a/src/camphorstack/links/peer_frame_reader.hpp
+++ b/src/camphorstack/links/peer_frame_reader.hpp
@@ -32,6 +32,7 @@
     peer_body read(const wire::RunRequest& table);
     peer_body read(const wire::RunResult& table);
     peer_body read(const wire::MembershipReport& table);
+    peer_body read(const wire::MembershipAnswer& table);
     std::vector<std::string> texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* values);
 
     /// Bytes of text that may still be read. Frames may let many offsets point to one string, which would multiply a small
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -77,6 +77,9 @@
 struct MembershipReport;
 struct MembershipReportBuilder;
 
+struct CollectionEvidence;
+struct CollectionEvidenceBuilder;
+
 struct MembershipAnswer;
 struct MembershipAnswerBuilder;
 
@@ -2335,7 +2338,8 @@
     VT_HOST = 4,
     VT_NONCE = 6,
     VT_STAGE = 8,
-    VT_SUSPECTED = 10
+    VT_SUSPECTED = 10,
+    VT_SEQUENCE = 12
   };
   const camphorstack::wire::Member *host() const {
     return GetPointer<const camphorstack::wire::Member *>(VT_HOST);
@@ -2349,6 +2353,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *suspected() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SUSPECTED);
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -2359,6 +2366,7 @@
            VerifyOffset(verifier, VT_SUSPECTED) &&
            verifier.VerifyVector(suspected()) &&
            verifier.VerifyVectorOfStrings(suspected()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -2379,6 +2387,9 @@
   void add_suspected(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspected) {
     fbb_.AddOffset(MembershipReport::VT_SUSPECTED, suspected);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(MembershipReport::VT_SEQUENCE, sequence, 0);
+  }
   explicit MembershipReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2395,8 +2406,10 @@
     flatbuffers::Offset<camphorstack::wire::Member> host = 0,
     flatbuffers::Offset<flatbuffers::String> nonce = 0,
     uint8_t stage = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspected = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspected = 0,
+    uint64_t sequence = 0) {
   MembershipReportBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_suspected(suspected);
   builder_.add_nonce(nonce);
   builder_.add_host(host);
@@ -2414,7 +2427,8 @@
     flatbuffers::Offset<camphorstack::wire::Member> host = 0,
     const char *nonce = nullptr,
     uint8_t stage = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *suspected = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *suspected = nullptr,
+    uint64_t sequence = 0) {
   auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
   auto suspected__ = suspected ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*suspected) : 0;
   return camphorstack::wire::CreateMembershipReport(
@@ -2422,21 +2436,101 @@
       host,
       nonce__,
       stage,
-      suspected__);
+      suspected__,
+      sequence);
 }
 
+struct CollectionEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CollectionEvidenceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COLLECTION = 4,
+    VT_LAST_CHANGE = 6,
+    VT_AGE_MS = 8
+  };
+  uint8_t collection() const {
+    return GetField<uint8_t>(VT_COLLECTION, 0);
+  }
+  uint64_t last_change() const {
+    return GetField<uint64_t>(VT_LAST_CHANGE, 0);
+  }
+  int64_t age_ms() const {
+    return GetField<int64_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_COLLECTION, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_CHANGE, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct CollectionEvidenceBuilder {
+  typedef CollectionEvidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_collection(uint8_t collection) {
+    fbb_.AddElement<uint8_t>(CollectionEvidence::VT_COLLECTION, collection, 0);
+  }
+  void add_last_change(uint64_t last_change) {
+    fbb_.AddElement<uint64_t>(CollectionEvidence::VT_LAST_CHANGE, last_change, 0);
+  }
+  void add_age_ms(int64_t age_ms) {
+    fbb_.AddElement<int64_t>(CollectionEvidence::VT_AGE_MS, age_ms, 0);
+  }
+  explicit CollectionEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CollectionEvidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CollectionEvidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CollectionEvidence> CreateCollectionEvidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t collection = 0,
+    uint64_t last_change = 0,
+    int64_t age_ms = 0) {
+  CollectionEvidenceBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_last_change(last_change);
+  builder_.add_collection(collection);
+  return builder_.Finish();
+}
+
+struct CollectionEvidence::Traits {
+  using type = CollectionEvidence;
+  static auto constexpr Create = CreateCollectionEvidence;
+};
+
 struct MembershipAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MembershipAnswerBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_COORDINATES = 4
+    VT_COORDINATES = 4,
+    VT_SEQUENCE = 6,
+    VT_EVIDENCE = 8
   };
   bool coordinates() const {
     return GetField<uint8_t>(VT_COORDINATES, 0) != 0;
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::CollectionEvidence>> *evidence() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::CollectionEvidence>> *>(VT_EVIDENCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_COORDINATES, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyVector(evidence()) &&
+           verifier.VerifyVectorOfTables(evidence()) &&
            verifier.EndTable();
   }
 };
@@ -2448,6 +2542,12 @@
   void add_coordinates(bool coordinates) {
     fbb_.AddElement<uint8_t>(MembershipAnswer::VT_COORDINATES, static_cast<uint8_t>(coordinates), 0);
   }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(MembershipAnswer::VT_SEQUENCE, sequence, 0);
+  }
+  void add_evidence(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::CollectionEvidence>>> evidence) {
+    fbb_.AddOffset(MembershipAnswer::VT_EVIDENCE, evidence);
+  }
   explicit MembershipAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2461,8 +2561,12 @@
 
 inline flatbuffers::Offset<MembershipAnswer> CreateMembershipAnswer(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bool coordinates = false) {
+    bool coordinates = false,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::CollectionEvidence>>> evidence = 0) {
   MembershipAnswerBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_evidence(evidence);
   builder_.add_coordinates(coordinates);
   return builder_.Finish();
 }
@@ -2472,6 +2576,19 @@
   static auto constexpr Create = CreateMembershipAnswer;
 };
 
+inline flatbuffers::Offset<MembershipAnswer> CreateMembershipAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool coordinates = false,
+    uint64_t sequence = 0,
+    const std::vector<flatbuffers::Offset<camphorstack::wire::CollectionEvidence>> *evidence = nullptr) {
+  auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<camphorstack::wire::CollectionEvidence>>(*evidence) : 0;
+  return camphorstack::wire::CreateMembershipAnswer(
+      _fbb,
+      coordinates,
+      sequence,
+      evidence__);
+}
+
 struct LeaderClosed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LeaderClosedBuilder Builder;
   struct Traits;
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -52,7 +52,7 @@
     for (auto& [peer, tried] : state.broken_links) {
         if (now - tried >= retry_interval) {
             tried = now;
-            send_peer(state, peer, membership_answer{false});
+            send_peer(state, peer, membership_answer{});
         }
     }
 }
@@ -241,12 +241,10 @@
     host->next_call = (host->random() >> 16U) + 1;
     host->coordination.settings = settings.coordination;
     host->coordination.answered = now;
-    const std::array<collection_watch_settings, collection_count> watches{settings.document_watch, settings.endpoints_watch,
-                                                                          settings.evacuations_watch, settings.fleet_watch};
-    for (std::size_t i = 0; i < watches.size(); ++i) {
+    for (std::size_t i = 0; i < collection_count; ++i) {
         auto& watch = host->catalog.watches.at(i);
         watch.of = static_cast<collection>(i);
-        watch.settings = watches.at(i);
+        watch.settings = settings.watches.at(i);
         watch.next_list = now;
     }
     host->settings = std::move(settings);
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -31,6 +32,12 @@
     friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
 
+/// How each collection is followed, in the order of `collection`.
+///
+/// The coordinator asks the store often and tells the others in its answers to their reports what is newest; these only wait for
+/// changes, and ask themselves once their evidence gets old. So the calls to the store hardly grow with the fleet.
+using watch_paces = std::array<collection_watch_settings, collection_count>;
+
 struct session_host_settings {
     member self;
     std::string nonce;                              ///< Differs at each start.
@@ -38,10 +45,18 @@
     millis stop_grace{6000};                        ///< From the request to stop until the process is killed.
     int spare_connections = 3;           ///< Of each endpoint's connections, left to hosts that cannot reach its owner.
     std::size_t direct_connections = 1;  ///< To an endpoint that another host owns.
-    collection_watch_settings document_watch{millis{1200}, millis{0}, millis{700}, millis{300}, millis{1700}};
-    collection_watch_settings endpoints_watch{millis{3500}, millis{0}, millis{700}, millis{300}, millis{0}};
-    collection_watch_settings evacuations_watch{millis{2500}, millis{0}, millis{700}, millis{300}, millis{0}};
-    collection_watch_settings fleet_watch{millis{8000}, millis{900}, millis{700}, millis{200}, millis{0}};
+    watch_paces coordinator_watches{{
+        {millis{700}, millis{0}, millis{700}, millis{300}, millis{1700}},
+        {millis{2000}, millis{0}, millis{700}, millis{300}, millis{0}},
+        {millis{1500}, millis{0}, millis{700}, millis{300}, millis{0}},
+        {millis{8000}, millis{700}, millis{700}, millis{200}, millis{0}},
+    }};
+    watch_paces watches{{
+        {millis{15000}, millis{0}, millis{700}, millis{300}, millis{2100}},
+        {millis{15000}, millis{0}, millis{700}, millis{300}, millis{4000}},
+        {millis{15000}, millis{0}, millis{700}, millis{300}, millis{3000}},
+        {millis{15000}, millis{0}, millis{700}, millis{200}, millis{1500}},
+    }};
     entry_settings entry;
     executor_settings executor;
     coordination_settings coordination;
--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -58,8 +58,8 @@
                        true,
                        endpoint_self_report{true, 3, {3, 10}, millis{8}}},
             transaction_left{12},
-            membership_report{host_a, "nonce", host_stage::leaving, {"i-1"}},
-            membership_answer{true},
+            membership_report{host_a, "nonce", host_stage::leaving, {"i-1"}, 5},
+            membership_answer{true, 5, {{collection::endpoints, 77, millis{300}}}},
             leader_closed{"db", 4}};
 }
 
--- a/tests/session_fleet/failures.tests.cpp
+++ b/tests/session_fleet/failures.tests.cpp
@@ -218,6 +218,17 @@
     }
 }
 
+TEST_CASE("a fleet at rest asks the store less than eight times a second", "[session-fleet][evidence]") {
+    // Each call is paid for. Hosts live on what the coordinator tells them, so calls hardly grow with the fleet.
+    const std::size_t hosts = GENERATE(7U, 28U);
+    session_fleet fleet(fleet_options{.hosts = std::vector<data_centre_id>(hosts, "amman-a")});
+    fleet.run_for(start_time);
+    const auto before = fleet.store.calls;
+    fleet.run_for(millis{20000});
+    CHECK(fleet.store.calls - before <= 8 * 20);
+    CHECK(fleet.ready_hosts() == hosts);
+}
+
 TEST_CASE("changes are learnt though the store has dropped their history", "[session-fleet][compaction]") {
     session_fleet fleet;
     fleet.run_for(start_time);
