--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -45,17 +45,19 @@
     millis stop_grace{6000};                        ///< From the request to stop until the process is killed.
     int spare_connections = 3;           ///< Of each endpoint's connections, left to hosts that cannot reach its owner.
     std::size_t direct_connections = 1;  ///< To an endpoint that another host owns.
+    /// An answer without changes proves what was so when it was asked for, so evidence is at most twice a watch's time old.
     watch_paces coordinator_watches{{
         {millis{700}, millis{0}, millis{700}, millis{300}, millis{1700}},
-        {millis{2000}, millis{0}, millis{700}, millis{300}, millis{0}},
         {millis{1500}, millis{0}, millis{700}, millis{300}, millis{0}},
-        {millis{8000}, millis{700}, millis{700}, millis{200}, millis{0}},
+        {millis{1000}, millis{0}, millis{700}, millis{300}, millis{0}},
+        {millis{28000}, millis{700}, millis{700}, millis{200}, millis{0}},
     }};
+    /// The limits leave the coordinator's evidence one report's interval. The longest watch that the store allows is 30 s.
     watch_paces watches{{
-        {millis{15000}, millis{0}, millis{700}, millis{300}, millis{2100}},
-        {millis{15000}, millis{0}, millis{700}, millis{300}, millis{4000}},
-        {millis{15000}, millis{0}, millis{700}, millis{300}, millis{3000}},
-        {millis{15000}, millis{0}, millis{700}, millis{200}, millis{1500}},
+        {millis{28000}, millis{0}, millis{700}, millis{300}, millis{2100}},
+        {millis{28000}, millis{0}, millis{700}, millis{300}, millis{4000}},
+        {millis{28000}, millis{0}, millis{700}, millis{300}, millis{3000}},
+        {millis{28000}, millis{0}, millis{700}, millis{200}, millis{1500}},
     }};
     entry_settings entry;
     executor_settings executor;
