--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -65,10 +65,49 @@
     session.operation.reset();
 }
 
+/// Kind under which the metrics count an operation.
+request_kind metric_kind(const caller_session& session, const open_operation& operation) {
+    if (operation.kind == run_kind::commit) {
+        return request_kind::commit;
+    }
+    if (session.transaction) {
+        return request_kind::statement;
+    }
+    return operation.kind == run_kind::write ? request_kind::write : request_kind::read;
+}
+
+request_outcome metric_outcome(result_code code) {
+    switch (code) {
+        case result_code::none:
+        case result_code::failed:
+            return request_outcome::done;
+        case result_code::in_doubt:
+        case result_code::timeout:
+            return request_outcome::unknown;
+        default:
+            return request_outcome::not_run;
+    }
+}
+
+void count_operation(session_host_state& state, const caller_session& session, const open_operation& operation, result_code code,
+                     instant now) {
+    constexpr std::int64_t microseconds_per_millisecond = 1000;
+    auto& counts = state.counts[operation.access.workspace];
+    if (code == result_code::none) {
+        ++counts.done;
+    } else {
+        ++counts.failed[code];
+    }
+    const auto latency_us = (now - operation.arrived).count * microseconds_per_millisecond;
+    state.actions.emplace_back(request_sample{operation.access.workspace, metric_kind(session, operation), metric_outcome(code),
+                                              refusal::none, latency_us});
+}
+
 void give_up(session_host_state& state, caller_session& session, result_code code, const std::string& text, instant now) {
     const auto operation = *session.operation;
     forget_operation(state, session);
-    ++state.counts[operation.access.workspace].failed[code];
+    count_operation(state, session, operation, code, now);
+
     log_decision(
         state, "request_failed",
         describe(session, operation) + describe_target(operation, now) + " code=" + to_string(code) + " reason=\"" + text + "\"",
@@ -229,13 +268,11 @@
     const auto operation = *session.operation;
     forget_operation(state, session);
     session.last_used = now;
-    auto& counts = state.counts[operation.access.workspace];
+    count_operation(state, session, operation, result.code, now);
     if (result.code == result_code::none) {
-        ++counts.done;
         note_success(session, operation, result, now);
         log_decision(state, "request_done", describe(session, operation) + describe_target(operation, now));
     } else {
-        ++counts.failed[result.code];
         log_decision(state, "request_failed",
                      describe(session, operation) + describe_target(operation, now) + " code=" + to_string(result.code) +
                          " reason=\"" + result.text + "\"",
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -178,6 +178,16 @@
     instant now;
 
     void operator()(const tick& /*event*/) const { tick_all(this->state, this->now); }
+    void operator()(const settings_changed& event) const {
+        auto& settings = this->state.settings;
+        settings.regions = event.regions;
+        settings.stop_grace = event.stop_grace;
+        settings.entry.document_lifetime = event.document_lifetime;
+        log_decision(this->state, "settings_taken",
+                     "regions=" + std::to_string(event.regions.size()) +
+                         " stop_grace_ms=" + std::to_string(event.stop_grace.count) +
+                         " document_lifetime_ms=" + std::to_string(event.document_lifetime.count));
+    }
     void operator()(const session_requested& event) const { receive_session(this->state, event, this->now); }
     void operator()(const statement_received& event) const { receive_statement(this->state, event, this->now); }
     void operator()(const session_left& event) const { receive_session_left(this->state, event, this->now); }
--- a/src/camphorstack/session_host/session_host_events.hpp
+++ b/src/camphorstack/session_host/session_host_events.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <map>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -8,12 +10,23 @@
 #include "camphorstack/executors/endpoint_session.hpp"
 #include "camphorstack/hosts/host_events.hpp"
 #include "camphorstack/sessions/session_events.hpp"
+#include "camphorstack/support/metrics.hpp"
 
 namespace camphorstack {
 
-using session_host_event = std::variant<tick, session_requested, statement_received, session_left, endpoint_session_opened,
-                                        endpoint_session_ended, endpoint_session_replied, catalog_answer, promotion_answer,
-                                        peer_message, peer_connected, peer_disconnected, peer_not_sent, stop_requested>;
+/// What a host takes over from changed settings while it runs; the rest counts at its next start.
+struct settings_changed {
+    std::map<data_centre_id, std::string> regions;  ///< Region of each data centre.
+    millis stop_grace;
+    millis document_lifetime;
+
+    friend bool operator==(const settings_changed&, const settings_changed&) = default;
+};
+
+using session_host_event =
+    std::variant<tick, settings_changed, session_requested, statement_received, session_left, endpoint_session_opened,
+                 endpoint_session_ended, endpoint_session_replied, catalog_answer, promotion_answer, peer_message, peer_connected,
+                 peer_disconnected, peer_not_sent, stop_requested>;
 
 /// A decision that touches a request or changes what the host believes, for the log.
 struct decision_line {
@@ -24,9 +37,9 @@
     friend bool operator==(const decision_line&, const decision_line&) = default;
 };
 
-using session_host_action =
-    std::variant<accept_session, reject_session, close_session, answer_statement, open_endpoint_session, close_endpoint_session,
-                 send_endpoint_statements, catalog_call, promotion_call, send_to_peer, decision_line, host_stopped>;
+using session_host_action = std::variant<accept_session, reject_session, close_session, answer_statement, open_endpoint_session,
+                                         close_endpoint_session, send_endpoint_statements, catalog_call, promotion_call,
+                                         send_to_peer, request_sample, decision_line, host_stopped>;
 using session_host_actions = std::vector<session_host_action>;
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host_task.cpp
+++ b/src/camphorstack/session_host/session_host_task.cpp
@@ -16,9 +16,11 @@
 session_host_task::session_host_task(session_host_handle decisions, const session_links_factory& make_links, const clock& time,
                                      std::function<void(const decision_line&)> log, std::function<void()> stopped)
     : host(std::move(decisions)), source_of_time(time), on_stopped(std::move(stopped)), on_decision(std::move(log)) {
-    this->links = make_links([this](session_host_event event) { this->on_event(std::move(event)); },
-                             session_host_pages{[this]() { return is_ready(*this->host, this->source_of_time.now()); },
-                                                [this]() { return render_counters(*this->host, this->source_of_time.now()); }});
+    this->links =
+        make_links([this](session_host_event event) { this->on_event(std::move(event)); },
+                   session_host_pages{
+                       [this]() { return is_ready(*this->host, this->source_of_time.now()); },
+                       [this]() { return this->metrics.render() + render_counters(*this->host, this->source_of_time.now()); }});
     this->on_event(tick{});
     this->schedule_tick();
 }
@@ -61,6 +63,8 @@
 void session_host_task::carry_out(const session_host_action& action) {
     if (const auto* line = std::get_if<decision_line>(&action)) {
         this->on_decision(*line);
+    } else if (const auto* sample = std::get_if<request_sample>(&action)) {
+        this->metrics.record(*sample);
     } else if (std::holds_alternative<host_stopped>(action)) {
         this->on_host_stopped();
     } else {
--- a/src/camphorstack/session_host/session_host_task.hpp
+++ b/src/camphorstack/session_host/session_host_task.hpp
@@ -35,6 +35,7 @@
     void on_host_stopped();
 
     session_host_handle host;
+    request_metrics metrics;
     const clock& source_of_time;
     std::function<void()> on_stopped;
     std::function<void(const decision_line&)> on_decision;
--- /dev/null
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -0,0 +1,130 @@
+#include "camphorstack/catalog/collection_watch.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "camphorstack/catalog/fleet_record.hpp"
+#include "camphorstack/support/errors.hpp"
+
+using namespace camphorstack;
+
+namespace {
+
+collection_watch make_watch() {
+    collection_watch watch;
+    watch.of = collection::evacuations;
+    watch.settings = {millis{1000}, millis{0}, millis{500}, millis{200}, millis{3000}};
+    return watch;
+}
+
+catalog_answer answer_to(const catalog_call& call, store_revision revision, std::vector<catalog_item> items = {}) {
+    catalog_answer answer;
+    answer.id = call.id;
+    answer.status = catalog_status::done;
+    answer.revision = revision;
+    answer.items = std::move(items);
+    return answer;
+}
+
+catalog_item item(const std::string& name, store_revision revision) {
+    return {name, revision, evacuation_item{}};
+}
+
+}  // namespace
+
+TEST_CASE("a collection is listed page by page, then watched from the list's revision", "[collection-watch]") {
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    auto calls = due_calls(watch, next, instant{0});
+    REQUIRE(calls.size() == 1);
+    auto page = answer_to(calls[0], 40, {item("a", 5)});
+    page.more = true;
+    CHECK_FALSE(receive_answer(watch, page, instant{5}));
+    calls = due_calls(watch, next, instant{5});
+    REQUIRE(calls.size() == 1);
+    CHECK(calls[0].name == "a");
+    const auto news = receive_answer(watch, answer_to(calls[0], 44, {item("b", 6)}), instant{10});
+    REQUIRE(news);
+    CHECK((news->complete && news->items.size() == 2));
+    // Changes between the pages are heard of again, rather than missed.
+    CHECK(watch.revision == 40);
+    CHECK(watch.evidence == instant{0});
+    calls = due_calls(watch, next, instant{10});
+    REQUIRE(calls.size() == 1);
+    CHECK((calls[0].operation == catalog_operation::watch && calls[0].revision == 40));
+}
+
+TEST_CASE("an answer without changes moves the evidence, and never the revision that is watched from", "[collection-watch]") {
+    // Guards against changes that the store skipped while its watches were deaf.
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    receive_answer(watch, answer_to(due_calls(watch, next, instant{0})[0], 40), instant{5});
+    const auto call = due_calls(watch, next, instant{10})[0];
+    CHECK_FALSE(receive_answer(watch, answer_to(call, 90), instant{1010}));
+    CHECK(watch.evidence == instant{10});
+    const auto again = due_calls(watch, next, instant{1010})[0];
+    CHECK(again.revision == 40);
+    CHECK(receive_answer(watch, answer_to(again, 95, {item("a", 80)}), instant{1100}));
+    CHECK(due_calls(watch, next, instant{1100})[0].revision == 95);
+}
+
+TEST_CASE("lost answers, refusals and dropped history lead to new calls", "[collection-watch]") {
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    receive_answer(watch, answer_to(due_calls(watch, next, instant{0})[0], 40), instant{5});
+    const auto call = due_calls(watch, next, instant{10})[0];
+    SECTION("no answer") {
+        CHECK(due_calls(watch, next, instant{1500}).empty());
+        const auto calls = due_calls(watch, next, instant{1510});
+        REQUIRE(calls.size() == 1);
+        CHECK_FALSE(watch.reachable);
+        // The answer to the call that was given up is no answer to the new one.
+        CHECK_FALSE(owns_call(watch, call.id));
+    }
+    SECTION("refusal") {
+        auto refused = answer_to(call, 0);
+        refused.status = catalog_status::refused;
+        receive_answer(watch, refused, instant{20});
+        CHECK(due_calls(watch, next, instant{219}).empty());
+        CHECK(due_calls(watch, next, instant{220}).size() == 1);
+    }
+    SECTION("history gone") {
+        auto gone = answer_to(call, 0);
+        gone.status = catalog_status::history_gone;
+        receive_answer(watch, gone, instant{20});
+        CHECK(due_calls(watch, next, instant{20})[0].operation == catalog_operation::list);
+    }
+    SECTION("old evidence") {
+        auto calls = due_calls(watch, next, instant{3000});
+        CHECK(std::ranges::count(calls, catalog_operation::list, &catalog_call::operation) == 1);
+    }
+}
+
+TEST_CASE("what another host knows renews the evidence only if this host knows as much", "[collection-watch]") {
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    receive_answer(watch, answer_to(due_calls(watch, next, instant{0})[0], 40, {item("a", 30)}), instant{5});
+    due_calls(watch, next, instant{5});
+    receive_evidence(watch, {collection::evacuations, 30, millis{100}}, instant{1000}, instant{1010});
+    CHECK(watch.evidence == instant{900});
+    receive_evidence(watch, {collection::evacuations, 55, millis{10}}, instant{2000}, instant{2010});
+    CHECK(watch.evidence == instant{900});
+    CHECK(due_calls(watch, next, instant{2010}).at(0).operation == catalog_operation::list);
+}
+
+TEST_CASE("records of the fleet survive the store, and others are refused", "[fleet-record]") {
+    const member host{"a", "10.0.0.1:1", "10.0.0.1:2", "amman-a"};
+    for (const fleet_record& record :
+         std::vector<fleet_record>{coordinator_record{host, "nonce", 7}, members_record{{3, {host}}, {"a"}},
+                                   leader_record{"db", "i-1", leader_phase::changing, true, 9}}) {
+        CHECK(parse_fleet_record(object_name(record), to_text(record)) == record);
+    }
+    for (const auto* text : {"", "[]", "{}", R"({"database":"db","endpoint":"i","phase":"asleep","round":1})",
+                             R"({"database":"other","endpoint":"i","phase":"serving","round":1})",
+                             R"({"database":"db","endpoint":"i","phase":"serving","round":-1})"}) {
+        CAPTURE(text);
+        CHECK_THROWS_AS(parse_fleet_record("leader-db", text), format_error);
+    }
+    CHECK_THROWS_AS(parse_fleet_record("members", R"({"epoch":1,"hosts":[7],"unreachable":[]})"), format_error);
+    CHECK_THROWS_AS(parse_fleet_record("coordinator", R"({"fence":1})"), format_error);
+}
--- /dev/null
+++ b/tests/executors/executor.tests.cpp
@@ -0,0 +1,224 @@
+#include "camphorstack/executors/executor.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "camphorstack/sessions/position_samples.hpp"
+
+using namespace camphorstack;
+
+namespace {
+
+/// One endpoint's executor, whose actions and results the tests look at.
+struct bench {
+    bench() {
+        endpoint_share share;
+        share.entry.id = "i-1";
+        share.entry.database = "db";
+        share.entry.slots = 2;
+        share.connection_limit = 6;
+        this->shares["i-1"] = share;
+        set_endpoints(this->state, this->shares, this->now);
+    }
+
+    run_request request(run_kind kind, const workspace_id& workspace = "ws") {
+        run_request wanted;
+        wanted.id = this->next++;
+        wanted.endpoint = "i-1";
+        wanted.workspace = workspace;
+        wanted.kind = kind;
+        wanted.statement_id = "q" + std::to_string(wanted.id);
+        wanted.text = "READ x";
+        wanted.statement_timeout = millis{800};
+        wanted.patience = millis{250};
+        return wanted;
+    }
+
+    /// Opens the connections that were asked for, and returns the statements that were sent.
+    std::vector<send_endpoint_statements> settle() {
+        std::vector<send_endpoint_statements> sent;
+        while (!this->state.actions.empty()) {
+            for (const auto& action : std::exchange(this->state.actions, {})) {
+                if (const auto* open = std::get_if<open_endpoint_session>(&action)) {
+                    on_session_opened(this->state, {open->connection, std::nullopt}, this->now);
+                } else if (const auto* statements = std::get_if<send_endpoint_statements>(&action)) {
+                    sent.push_back(*statements);
+                }
+            }
+        }
+        return sent;
+    }
+
+    void reply(connection_id connection, result_code code = result_code::none, session_state after = session_state::idle) {
+        endpoint_reply answer;
+        answer.code = code;
+        answer.state = after;
+        answer.position = log_position{1, 5};
+        on_session_replied(this->state, {connection, answer}, this->now);
+    }
+
+    void lead(leader_round round, millis left, bool closing = false) {
+        set_leader_right(this->state, "i-1", leader_right{round, this->now + left, closing}, this->now);
+    }
+
+    run_result result() {
+        REQUIRE_FALSE(this->state.results.empty());
+        auto first = this->state.results.front().result;
+        this->state.results.erase(this->state.results.begin());
+        return first;
+    }
+
+    executor_state state;
+    std::map<endpoint_id, endpoint_share> shares;
+    instant now{1000};
+    run_id next = 1;
+};
+
+}  // namespace
+
+TEST_CASE("runs above the endpoint's slots wait, the more urgent ones first", "[executor]") {
+    bench fixture;
+    for (int i = 0; i < 4; ++i) {
+        submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
+    }
+    CHECK(fixture.settle().size() == 4);
+    auto later = fixture.request(run_kind::read);
+    later.priority = 2;
+    auto urgent = fixture.request(run_kind::read);
+    urgent.priority = 0;
+    submit_run(fixture.state, "host", later, fixture.now);
+    submit_run(fixture.state, "host", urgent, fixture.now);
+    CHECK(fixture.settle().empty());
+    fixture.reply(1);
+    const auto sent = fixture.settle();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].statements.back().id == urgent.statement_id);
+}
+
+TEST_CASE("a run that could not be sent in its time is refused at once or when the time is over", "[executor]") {
+    bench fixture;
+    for (int i = 0; i < 4; ++i) {
+        submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
+    }
+    fixture.settle();
+    submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
+    CHECK(fixture.state.results.empty());
+    fixture.now = fixture.now + millis{250};
+    executor_tick(fixture.state, fixture.now);
+    CHECK(fixture.result().outcome == run_outcome::not_run);
+    fixture.state.endpoints.at("i-1").mean_service_ms = 1000;
+    submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
+    const auto refused = fixture.result();
+    CHECK((refused.outcome == run_outcome::not_run && refused.code == result_code::busy && refused.wait > millis{250}));
+}
+
+TEST_CASE("what is lost with a connection is told by what may have taken effect", "[executor]") {
+    bench fixture;
+    fixture.lead(1, millis{2000});
+    const auto [kind, transaction, code] = GENERATE(table<run_kind, std::uint64_t, result_code>({
+        {run_kind::read, 0U, result_code::failed},
+        {run_kind::write, 0U, result_code::in_doubt},
+        {run_kind::write, 7U, result_code::aborted},
+        {run_kind::commit, 7U, result_code::in_doubt},
+    }));
+    auto wanted = fixture.request(kind);
+    wanted.round = 1;
+    wanted.transaction = transaction;
+    wanted.start = transaction == 0 ? transaction_start::none : transaction_start::plain;
+    submit_run(fixture.state, "host", wanted, fixture.now);
+    fixture.settle();
+    if (transaction != 0) {
+        fixture.reply(1, result_code::none, session_state::in_transaction);
+        CHECK(fixture.settle().size() == 1);
+    }
+    on_session_ended(fixture.state, {1, result_code::none, false}, fixture.now);
+    const auto result = fixture.result();
+    CHECK(result.outcome == run_outcome::lost);
+    CHECK(result.code == code);
+    CHECK(fixture.state.transactions.empty());
+}
+
+TEST_CASE("nothing is sent without the right of its round, and a late success is in doubt", "[executor][former-primary]") {
+    bench fixture;
+    auto wanted = fixture.request(run_kind::write);
+    wanted.round = 2;
+    submit_run(fixture.state, "host", wanted, fixture.now);
+    CHECK(fixture.result().outcome == run_outcome::not_run);
+    fixture.lead(2, millis{500});
+    submit_run(fixture.state, "host", wanted, fixture.now);
+    CHECK(fixture.settle().size() == 1);
+    SECTION("in time") {
+        fixture.reply(1);
+        CHECK(fixture.result().outcome == run_outcome::done);
+    }
+    SECTION("after the right has ended") {
+        fixture.now = fixture.now + millis{700};
+        fixture.reply(1);
+        const auto late = fixture.result();
+        CHECK((late.outcome == run_outcome::lost && late.code == result_code::in_doubt));
+    }
+    SECTION("the leader is changed meanwhile") {
+        set_leader_right(fixture.state, "i-1", std::nullopt, fixture.now);
+        CHECK(fixture.result().code == result_code::in_doubt);
+        CHECK(is_leader_work_done(fixture.state, "i-1"));
+    }
+    SECTION("a planned change lets open transactions end") {
+        fixture.reply(1);
+        fixture.result();
+        auto begin = fixture.request(run_kind::write);
+        begin.round = 2;
+        begin.transaction = 9;
+        begin.start = transaction_start::plain;
+        submit_run(fixture.state, "host", begin, fixture.now);
+        fixture.settle();
+        fixture.reply(1, result_code::none, session_state::in_transaction);
+        fixture.settle();
+        fixture.reply(1, result_code::none, session_state::in_transaction);
+        fixture.result();
+        fixture.lead(2, millis{500}, true);
+        CHECK_FALSE(is_leader_work_done(fixture.state, "i-1"));
+        auto other = fixture.request(run_kind::write);
+        other.round = 2;
+        submit_run(fixture.state, "host", other, fixture.now);
+        CHECK(fixture.result().outcome == run_outcome::not_run);
+        auto commit = fixture.request(run_kind::commit);
+        commit.round = 2;
+        commit.transaction = 9;
+        submit_run(fixture.state, "host", commit, fixture.now);
+        CHECK(fixture.settle().size() == 1);
+        fixture.reply(1);
+        CHECK(fixture.result().outcome == run_outcome::done);
+        CHECK(is_leader_work_done(fixture.state, "i-1"));
+    }
+}
+
+TEST_CASE("connections belong to workspaces, and the longest idle one makes room", "[executor]") {
+    bench fixture;
+    for (int i = 0; i < 6; ++i) {
+        submit_run(fixture.state, "host", fixture.request(run_kind::read, "ws" + std::to_string(i)), fixture.now);
+        const auto sent = fixture.settle();
+        REQUIRE(sent.size() == 1);
+        fixture.now = fixture.now + millis{1};
+        fixture.reply(sent[0].connection);
+    }
+    submit_run(fixture.state, "host", fixture.request(run_kind::read, "ws3"), fixture.now);
+    CHECK(fixture.settle().size() == 1);
+    submit_run(fixture.state, "host", fixture.request(run_kind::read, "ws9"), fixture.now);
+    CHECK(std::ranges::count(fixture.state.actions, executor_action(close_endpoint_session{1})) == 1);
+    CHECK(fixture.settle().size() == 1);
+    CHECK(fixture.state.connections.size() == 6);
+}
+
+TEST_CASE("a position is old enough for its bound and no older", "[position-samples]") {
+    position_samples samples;
+    for (int i = 0; i < 10; ++i) {
+        add_sample(samples, 1, {instant{i * 100}, {1, static_cast<std::uint64_t>(i)}});
+    }
+    CHECK(position_since(samples, instant{250}) == log_position{1, 3});
+    CHECK(position_since(samples, instant{300}) == log_position{1, 3});
+    CHECK_FALSE(position_since(samples, instant{901}));
+    add_sample(samples, 2, {instant{950}, {2, 1}});
+    CHECK(position_since(samples, instant{250}) == log_position{2, 1});
+    add_sample(samples, 1, {instant{960}, {1, 99}});
+    CHECK(position_since(samples, instant{955}) == std::nullopt);
+}
--- /dev/null
+++ b/tests/settings/parse_session_settings.tests.cpp
@@ -0,0 +1,69 @@
+#include <catch2/catch.hpp>
+
+#include "camphorstack/settings/daemon_settings.hpp"
+#include "camphorstack/settings/session_settings.hpp"
+
+using namespace camphorstack;
+
+namespace {
+
+const std::string complete = R"(id: front-1
+data_centre: amman-a
+peer_address: "10.1.0.1:7560"
+callers_address: "10.1.0.1:8465"
+readiness_address: "10.1.0.1:8460"
+metrics_address: "10.1.0.1:7561"
+store_address: "10.200.1.7:8466"
+promotion_address: "10.200.0.2:8466"
+fleet_secret: "sixteen characters"
+stop_grace: 6s
+key_withdrawal: 5000ms
+data_centres:
+  "amman-a": "amman"
+  "irbid-a": "irbid"
+)";
+
+std::string errors_of(const std::string& text) {
+    try {
+        static_cast<void>(parse_session_settings(text, "f.yaml"));
+    } catch (const settings_error& failure) {
+        return failure.what();
+    }
+    return "";
+}
+
+std::string without(const std::string& key) {
+    const auto start = complete.find(key + ":");
+    return complete.substr(0, start) + complete.substr(complete.find('\n', start) + 1);
+}
+
+}  // namespace
+
+TEST_CASE("a session host's settings are read whole", "[settings][session-settings]") {
+    const auto settings = parse_session_settings(complete, "f.yaml");
+    CHECK(settings.host.self == member{"front-1", "10.1.0.1:7560", "10.1.0.1:8465", "amman-a"});
+    CHECK(settings.host.regions == std::map<data_centre_id, std::string>{{"amman-a", "amman"}, {"irbid-a", "irbid"}});
+    CHECK(settings.host.stop_grace == millis{6000});
+    CHECK(settings.host.entry.document_lifetime == millis{2900});
+    CHECK(settings.store_address == "10.200.1.7:8466");
+    CHECK(is_session_settings(complete));
+    CHECK_FALSE(is_session_settings("id: a\nhttp_address: b\n"));
+    CHECK_FALSE(is_session_settings("{{"));
+}
+
+TEST_CASE("every error of a session host's settings is reported with its line", "[settings][session-settings]") {
+    for (const auto* key : {"id", "data_centre", "peer_address", "callers_address", "readiness_address", "metrics_address",
+                            "store_address", "promotion_address", "fleet_secret"}) {
+        CAPTURE(key);
+        CHECK(errors_of(without(key)).find(key) != std::string::npos);
+    }
+    const auto several = errors_of("id: \"\"\nunknown: 1\nstop_grace: 6\nfleet_secret: short\n");
+    for (const auto* part : {"f.yaml:1: id", "f.yaml:2:", "f.yaml:3:", "f.yaml:4:", "callers_address", "data_centres"}) {
+        CAPTURE(part, several);
+        CHECK(several.find(part) != std::string::npos);
+    }
+    CHECK(several.find("short\n") == std::string::npos);
+    CHECK_FALSE(errors_of("[1, 2").empty());
+    CHECK_FALSE(errors_of("- a\n").empty());
+    CHECK(errors_of(complete + "id: twice\n").find("id") != std::string::npos);
+}
