Let the coordinator pass over unreachable members that claimed no right; use leaders only as a listed member

Also found while reading: a host that was no longer listed, but reached the store, kept its right to use leaders and was not waited for. Tests: a dead host does not hold up a planned change; a host that only the store and the endpoints reach is waited for.

--- a/src/camphorstack/catalog/fleet_record.cpp
+++ b/src/camphorstack/catalog/fleet_record.cpp
@@ -1,5 +1,7 @@
 #include "camphorstack/catalog/fleet_record.hpp"
 
+#include <algorithm>
+
 #include "camphorstack/document/json_tree.hpp"
 #include "camphorstack/support/errors.hpp"
 #include "camphorstack/support/json.hpp"
@@ -9,6 +11,7 @@
 namespace {
 
 constexpr const char* leader_prefix = "leader-";
+constexpr const char* claim_prefix = "claim-";
 
 void write_member(json_writer& out, const member& host) {
     out.begin_object()
@@ -34,10 +37,15 @@
         }
         this->out.end_array().name("unreachable").begin_array();
         for (const auto& host : record.unreachable) {
+            this->out.begin_object().field("id", host.id).field("absence", host.absence).end_object();
+        }
+        this->out.end_array().name("leaving").begin_array();
+        for (const auto& host : record.leaving) {
             this->out.value(host);
         }
-        this->out.end_array();
+        this->out.end_array().field("absences", record.absences);
     }
+    void operator()(const absence_claim& record) const { this->out.field("host", record.host).field("absence", record.absence); }
     void operator()(const leader_record& record) const {
         this->out.field("database", record.database)
             .field("endpoint", record.endpoint)
@@ -76,8 +84,9 @@
     record.list.epoch = required_number(root, "epoch");
     JsonArray* hosts = array_member(root, "hosts");
     JsonArray* unreachable = array_member(root, "unreachable");
-    if (hosts == nullptr || unreachable == nullptr) {
-        throw format_error("fleet record: \"hosts\" and \"unreachable\" must be arrays");
+    JsonArray* leaving = array_member(root, "leaving");
+    if (hosts == nullptr || unreachable == nullptr || leaving == nullptr) {
+        throw format_error("fleet record: \"hosts\", \"unreachable\" and \"leaving\" must be arrays");
     }
     for (guint i = 0; i < json_array_get_length(hosts); ++i) {
         JsonNode* node = json_array_get_element(hosts, i);
@@ -85,12 +94,21 @@
     }
     for (guint i = 0; i < json_array_get_length(unreachable); ++i) {
         JsonNode* node = json_array_get_element(unreachable, i);
+        JsonObject* host = JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : nullptr;
+        if (host == nullptr) {
+            throw format_error("fleet record: \"unreachable\" must hold objects");
+        }
+        record.unreachable.push_back({required_text(host, "id"), required_number(host, "absence")});
+    }
+    for (guint i = 0; i < json_array_get_length(leaving); ++i) {
+        JsonNode* node = json_array_get_element(leaving, i);
         const char* text = JSON_NODE_HOLDS_VALUE(node) ? json_node_get_string(node) : nullptr;
         if (text == nullptr) {
-            throw format_error("fleet record: \"unreachable\" must hold strings");
+            throw format_error("fleet record: \"leaving\" must hold strings");
         }
-        record.unreachable.emplace_back(text);
+        record.leaving.emplace_back(text);
     }
+    record.absences = required_number(root, "absences");
     return record;
 }
 
@@ -118,9 +136,17 @@
     if (const auto* leader = std::get_if<leader_record>(&record)) {
         return leader_object_name(leader->database);
     }
+    if (const auto* claim = std::get_if<absence_claim>(&record)) {
+        return claim_prefix + claim->host;
+    }
     return std::holds_alternative<members_record>(record) ? members_record::name : coordinator_record::name;
 }
 
+const unreachable_member* find_unreachable(const members_record& record, const host_id& id) {
+    const auto found = std::ranges::find(record.unreachable, id, &unreachable_member::id);
+    return found == record.unreachable.end() ? nullptr : &*found;
+}
+
 std::string to_text(const fleet_record& record) {
     json_writer out;
     out.begin_object();
@@ -142,6 +168,13 @@
     if (name == members_record::name) {
         return read_members(root);
     }
+    if (name.starts_with(claim_prefix)) {
+        absence_claim claim{required_text(root, "host"), required_number(root, "absence")};
+        if (name != object_name(claim)) {
+            throw format_error("fleet record: \"" + name + "\" does not name its host");
+        }
+        return claim;
+    }
     auto leader = read_leader(root);
     if (name != leader_object_name(leader.database)) {
         throw format_error("fleet record: \"" + name + "\" does not name its database");
--- a/src/camphorstack/catalog/fleet_record.hpp
+++ b/src/camphorstack/catalog/fleet_record.hpp
@@ -27,12 +27,25 @@
     friend bool operator==(const coordinator_record&, const coordinator_record&) = default;
 };
 
+/// Numbers the times at which a member was found to be unreachable.
+using absence_number = std::uint64_t;
+
+/// A member that the coordinator cannot reach.
+struct unreachable_member {
+    host_id id;
+    absence_number absence = 0;
+
+    friend bool operator==(const unreachable_member&, const unreachable_member&) = default;
+};
+
 /// Hosts of the fleet. A host that the coordinator cannot reach stays a member for a while, but owns no endpoint.
 struct members_record {
     static constexpr const char* name = "members";
 
     member_list list;
-    std::vector<host_id> unreachable;  ///< Sorted.
+    std::vector<unreachable_member> unreachable;  ///< Sorted by id.
+    std::vector<host_id> leaving;                 ///< Finish what they have and own no endpoint; sorted.
+    absence_number absences = 0;                  ///< Highest number given so far.
 
     friend bool operator==(const members_record&, const members_record&) = default;
 };
@@ -53,7 +66,19 @@
     friend bool operator==(const leader_record&, const leader_record&) = default;
 };
 
-using fleet_record = std::variant<coordinator_record, members_record, leader_record>;
+/// Written by a member that is listed as unreachable and still reaches the store: it goes on using leaders, and the coordinator
+/// has to wait for it. Without a claim an unreachable member has no such right.
+struct absence_claim {
+    host_id host;
+    absence_number absence = 0;
+
+    friend bool operator==(const absence_claim&, const absence_claim&) = default;
+};
+
+using fleet_record = std::variant<coordinator_record, members_record, leader_record, absence_claim>;
+
+/// The member's entry among the unreachable ones; null if it is none of them.
+[[nodiscard]] const unreachable_member* find_unreachable(const members_record& record, const host_id& id);
 
 /// Name of the object that holds a record.
 [[nodiscard]] std::string object_name(const fleet_record& record);
--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -46,6 +46,12 @@
     instant heard;
 };
 
+/// Since when this host knows that a member is listed as unreachable.
+struct known_absence {
+    absence_number number = 0;
+    instant seen;
+};
+
 enum class change_step : std::uint8_t {
     recording,   ///< The record that ends all rights is being written.
     closing,     ///< Waits for the hosts to end their work, or for their rights to end.
@@ -98,12 +104,16 @@
     std::map<std::uint64_t, instant> reports;  ///< When each report without an answer was sent, by its sequence.
     std::map<host_id, instant> peers_heard;    ///< When a peer last answered a report, and did not claim the duty.
     std::optional<std::uint64_t> takeover_call;
+    instant takeover_not_before;
     bool is_coordinator = false;
     instant took_over;
     std::map<host_id, known_host> hosts;
     std::optional<std::uint64_t> members_call;
     instant next_members;
     std::map<database_id, leader_change> changes;
+    std::map<host_id, known_absence> absences;  ///< Of members that are listed as unreachable.
+    std::optional<std::uint64_t> claim_call;
+    instant claim_not_before;
     instant last_removal;                         ///< Of a member that had not said that it ends.
     std::map<database_id, instant> closing_seen;  ///< When this host learnt of a change that has not ended.
     std::map<database_id, instant> closing_told;  ///< When this host last told that its work has ended.
--- a/src/camphorstack/coordination/coordinator.hpp
+++ b/src/camphorstack/coordination/coordinator.hpp
@@ -27,6 +27,13 @@
 /// The coordinator's work on the member list.
 void members_tick(session_host_state& state, instant now);
 
+/// False once an unreachable member's right to use leaders has ended for certain: it has made no claim, and its evidence from
+/// before it was listed so is too old.
+[[nodiscard]] bool may_use_leaders(const session_host_state& state, const host_id& id, instant now);
+
+/// Claims the right to use leaders for this host, if it is listed as unreachable.
+void claim_tick(session_host_state& state, instant now);
+
 /// The coordinator's work on leaders.
 void leaders_tick(session_host_state& state, instant now);
 
--- a/src/camphorstack/coordination/duty.cpp
+++ b/src/camphorstack/coordination/duty.cpp
@@ -68,7 +68,7 @@
 
 bool should_take_over(const session_host_state& state, instant now) {
     const auto& duty = state.coordination;
-    if (duty.takeover_call || state.stopping || !reaches_store(state, now)) {
+    if (duty.takeover_call || now < duty.takeover_not_before || state.stopping || !reaches_store(state, now)) {
         return false;
     }
     if (!state.catalog.coordinator) {
@@ -242,20 +242,40 @@
     return id;
 }
 
+void claim_tick(session_host_state& state, instant now) {
+    const auto& self = state.settings.self.id;
+    const auto* absence = state.catalog.members ? find_unreachable(state.catalog.members->record, self) : nullptr;
+    if (absence == nullptr || state.coordination.claim_call || now < state.coordination.claim_not_before) {
+        return;
+    }
+    const auto known = state.catalog.claims.find(self);
+    const bool has_one = known != state.catalog.claims.end();
+    if (!has_one || known->second.record.absence != absence->absence) {
+        state.coordination.claim_call =
+            write_record(state, absence_claim{self, absence->absence}, has_one ? known->second.revision : 0);
+    }
+}
+
 bool receive_record_answer(session_host_state& state, const catalog_answer& answer, instant now) {
     auto& duty = state.coordination;
     const bool takeover = duty.takeover_call == answer.id;
     const bool members = duty.members_call == answer.id;
+    const bool claim = duty.claim_call == answer.id;
     const auto change = std::ranges::find_if(duty.changes, [&](const auto& item) { return item.second.call == answer.id; });
-    if (!takeover && !members && change == duty.changes.end()) {
+    if (!takeover && !members && !claim && change == duty.changes.end()) {
         return false;
     }
     if (takeover) {
         duty.takeover_call.reset();
+        duty.takeover_not_before = now + duty.settings.retry_interval;
     }
     if (members) {
         duty.members_call.reset();
     }
+    if (claim) {
+        duty.claim_call.reset();
+        duty.claim_not_before = now + duty.settings.retry_interval;
+    }
     if (change != duty.changes.end()) {
         change->second.call.reset();
         change->second.not_before = answer.status == catalog_status::done ? now : now + duty.settings.retry_interval;
@@ -264,6 +284,7 @@
                  std::string("what=") +
                      (takeover  ? "coordinator"
                       : members ? "members"
+                      : claim   ? "claim"
                                 : "leader") +
                      " status=" + to_string(answer.status));
     for (const auto& item : answer.items) {
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -113,8 +113,12 @@
     if (now - change.recorded >= right_ends) {
         return true;
     }
-    const bool all_told =
-        std::ranges::all_of(listed_members(state), [&](const member& host) { return change.closed.contains(host.id); });
+    // Claims made before the record are known once the store was asked after it; a later one comes with knowledge of the record.
+    const auto& evidence = watch_of(state, collection::fleet).evidence;
+    const bool knows_claims = evidence && *evidence >= change.recorded;
+    const bool all_told = std::ranges::all_of(listed_members(state), [&](const member& host) {
+        return change.closed.contains(host.id) || (knows_claims && !may_use_leaders(state, host.id, now));
+    });
     return all_told && now - state.coordination.last_removal >= right_ends && !listed_members(state).empty();
 }
 
@@ -259,6 +263,7 @@
         case change_step::recording:
             if (stored.record == change.record) {
                 change.recorded = now;
+                watch_of(state, collection::fleet).next_list = now;
                 enter(state, change, change_step::closing, now);
                 closing_tick(state, now);
             } else {
--- a/src/camphorstack/coordination/member_duty.cpp
+++ b/src/camphorstack/coordination/member_duty.cpp
@@ -23,12 +23,13 @@
 members_record wanted_record(session_host_state& state, instant now) {
     auto& duty = state.coordination;
     members_record record;
+    record.absences = state.catalog.members ? state.catalog.members->record.absences : 0;
     std::vector<host_id> forgotten;
     for (const auto& [id, known] : duty.hosts) {
         const bool ended = known.report.stage == host_stage::gone;
         const bool listed = std::ranges::find(listed_members(state), id, &member::id) != listed_members(state).end();
         if (ended || now - known.heard >= duty.settings.forgotten_after) {
-            if (listed && !ended) {
+            if (listed && !ended && may_use_leaders(state, id, now)) {
                 duty.last_removal = now;
             }
             forgotten.push_back(id);
@@ -38,8 +39,11 @@
             continue;
         }
         record.list.hosts.push_back(known.report.host);
-        if (known.report.stage != host_stage::serving || !is_heard(state, known, now)) {
-            record.unreachable.push_back(id);
+        if (!is_heard(state, known, now)) {
+            const auto* before = state.catalog.members ? find_unreachable(state.catalog.members->record, id) : nullptr;
+            record.unreachable.push_back(before != nullptr ? *before : unreachable_member{id, ++record.absences});
+        } else if (known.report.stage == host_stage::leaving) {
+            record.leaving.push_back(id);
         }
     }
     for (const auto& id : forgotten) {
@@ -52,6 +56,17 @@
 
 }  // namespace
 
+bool may_use_leaders(const session_host_state& state, const host_id& id, instant now) {
+    const auto& duty = state.coordination;
+    const auto absence = duty.absences.find(id);
+    if (absence == duty.absences.end()) {
+        return true;
+    }
+    const auto claim = state.catalog.claims.find(id);
+    const bool claimed = claim != state.catalog.claims.end() && claim->second.record.absence == absence->second.number;
+    return claimed || now - absence->second.seen < duty.settings.leader_right + duty.settings.right_margin;
+}
+
 void members_tick(session_host_state& state, instant now) {
     auto& duty = state.coordination;
     if (!duty.is_coordinator || duty.members_call || now < duty.next_members || is_isolated(state, now)) {
@@ -60,7 +75,7 @@
     auto record = wanted_record(state, now);
     const auto& known = state.catalog.members;
     const bool same_hosts = known && known->record.list.hosts == record.list.hosts;
-    if (same_hosts && known->record.unreachable == record.unreachable) {
+    if (same_hosts && known->record.unreachable == record.unreachable && known->record.leaving == record.leaving) {
         return;
     }
     record.list.epoch = known ? known->record.list.epoch + (same_hosts ? 0 : 1) : 1;
--- a/src/camphorstack/session_host/catalog_news.cpp
+++ b/src/camphorstack/session_host/catalog_news.cpp
@@ -47,6 +47,14 @@
     if (known && revision <= known->revision) {
         return;
     }
+    auto& absences = state.coordination.absences;
+    std::erase_if(absences, [&](const auto& item) { return find_unreachable(record, item.first) == nullptr; });
+    for (const auto& host : record.unreachable) {
+        auto& absence = absences[host.id];
+        if (absence.number != host.absence) {
+            absence = {host.absence, now};
+        }
+    }
     const bool new_epoch = !known || known->record.list.epoch != record.list.epoch;
     known = stored_record<members_record>{record, revision};
     std::string names;
@@ -88,6 +96,16 @@
     renew_leader_rights(state, now);
 }
 
+void adopt_claim(session_host_state& state, const absence_claim& record, store_revision revision, instant now) {
+    auto& known = state.catalog.claims[record.host];
+    if (revision <= known.revision) {
+        return;
+    }
+    known = {record, revision};
+    log_decision(state, "absence_claimed", "host=" + record.host + " absence=" + std::to_string(record.absence));
+    renew_leader_rights(state, now);
+}
+
 void remove_fleet_item(session_host_state& state, const std::string& name) {
     if (name == coordinator_record::name) {
         state.catalog.coordinator.reset();
@@ -161,13 +179,29 @@
     return found == nullptr ? 0 : found->connections_per_endpoint;
 }
 
-/// Members that the coordinator reaches.
+/// Whether the coordinator waits for this host when it changes a leader. Only then may the host use leaders.
+bool counts_for_changes(const session_host_state& state) {
+    if (!state.catalog.members) {
+        return false;
+    }
+    const auto& record = state.catalog.members->record;
+    const auto& self = state.settings.self.id;
+    if (std::ranges::find(record.list.hosts, self, &member::id) == record.list.hosts.end()) {
+        return false;
+    }
+    const auto* absence = find_unreachable(record, self);
+    const auto claim = state.catalog.claims.find(self);
+    return absence == nullptr || (claim != state.catalog.claims.end() && claim->second.record.absence == absence->absence);
+}
+
+/// Members that the coordinator reaches and that stay.
 std::vector<member> possible_owners(const session_host_state& state) {
     std::vector<member> hosts;
     if (state.catalog.members) {
         const auto& record = state.catalog.members->record;
-        std::ranges::copy_if(record.list.hosts, std::back_inserter(hosts),
-                             [&](const member& host) { return !std::ranges::binary_search(record.unreachable, host.id); });
+        std::ranges::copy_if(record.list.hosts, std::back_inserter(hosts), [&](const member& host) {
+            return find_unreachable(record, host.id) == nullptr && !std::ranges::binary_search(record.leaving, host.id);
+        });
     }
     return hosts;
 }
@@ -185,6 +219,8 @@
             adopt_coordinator(state, *coordinator, item.revision, now);
         } else if (const auto* members = std::get_if<members_record>(&record)) {
             adopt_members(state, *members, item.revision, now);
+        } else if (const auto* claim = std::get_if<absence_claim>(&record)) {
+            adopt_claim(state, *claim, item.revision, now);
         } else {
             adopt_leader(state, std::get<leader_record>(record), item.revision, now);
         }
@@ -249,7 +285,7 @@
     for (const auto& [database, stored] : state.catalog.leaders) {
         const auto& record = stored.record;
         const bool closing = record.phase == leader_phase::changing;
-        if (evidence && (!closing || record.planned)) {
+        if (evidence && counts_for_changes(state) && (!closing || record.planned)) {
             // Open transactions may still end before a planned change; their round is that of the record before.
             const auto round = closing ? record.round - 1 : record.round;
             rights[record.endpoint] = {round, *evidence + state.settings.coordination.leader_right, closing};
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -83,6 +83,7 @@
     entry_tick(state, now);
     duty_tick(state, now);
     try_broken_links(state, now);
+    claim_tick(state, now);
     members_tick(state, now);
     closing_tick(state, now);
     leaders_tick(state, now);
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -38,6 +38,7 @@
     std::optional<stored_record<coordinator_record>> coordinator;
     std::optional<stored_record<members_record>> members;
     std::map<database_id, stored_record<leader_record>> leaders;
+    std::map<host_id, stored_record<absence_claim>> claims;
 };
 
 /// What an executor told of an endpoint's queue.
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -115,8 +115,8 @@
 TEST_CASE("records of the fleet survive the store, and others are refused", "[fleet-record]") {
     const member host{"a", "10.0.0.1:1", "10.0.0.1:2", "amman-a"};
     for (const fleet_record& record :
-         std::vector<fleet_record>{coordinator_record{host, "nonce", 7}, members_record{{3, {host}}, {"a"}},
-                                   leader_record{"db", "i-1", leader_phase::changing, true, 9}}) {
+         std::vector<fleet_record>{coordinator_record{host, "nonce", 7}, members_record{{3, {host}}, {{"a", 4}}, {"b"}, 6},
+                                   absence_claim{"a", 4}, leader_record{"db", "i-1", leader_phase::changing, true, 9}}) {
         CHECK(parse_fleet_record(object_name(record), to_text(record)) == record);
     }
     for (const auto* text : {"", "[]", "{}", R"({"database":"db","endpoint":"i","phase":"asleep","round":1})",
@@ -125,6 +125,7 @@
         CAPTURE(text);
         CHECK_THROWS_AS(parse_fleet_record("leader-db", text), format_error);
     }
-    CHECK_THROWS_AS(parse_fleet_record("members", R"({"epoch":1,"hosts":[7],"unreachable":[]})"), format_error);
+    CHECK_THROWS_AS(parse_fleet_record("members", R"({"epoch":1,"hosts":[7],"unreachable":[],"leaving":[],"absences":0})"),
+                    format_error);
     CHECK_THROWS_AS(parse_fleet_record("coordinator", R"({"fence":1})"), format_error);
 }
--- a/tests/session_fleet/failures.tests.cpp
+++ b/tests/session_fleet/failures.tests.cpp
@@ -115,6 +115,50 @@
     }
 }
 
+TEST_CASE("a dead host does not hold up a planned change", "[session-fleet][planned]") {
+    // Each change waited 2.6 s for a member that was gone, or had just been removed, and refused requests meanwhile.
+    const auto dead_for = GENERATE(millis{5000}, millis{12500}, millis{13500});
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    fleet.kill_host("host-6");
+    fleet.run_for(dead_for);
+    const auto writer = fleet.connect("host-3", session_fleet::route_name(0, consistency::primary), "key-0");
+    fleet.run_for(millis{20});
+    fleet.database(0).instances.at("db0-0").entry.draining = true;
+    for (int i = 0; i < 100; ++i) {
+        CHECK(fleet.ask(writer, write_statement("w" + std::to_string(i), "item", "x")).code == result_code::none);
+        const auto& told = fleet.caller(writer).told.back();
+        CHECK((told.at - told.asked).count <= 1000);
+        fleet.run_for(millis{10});
+    }
+    CHECK(fleet.database(0).primary().entry.id != "db0-0");
+}
+
+TEST_CASE("a host that only the store and the endpoints reach goes on, and a change of leader waits for it",
+          "[session-fleet][former-primary]") {
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    for (int i = 0; i < 6; ++i) {
+        fleet.cut("host-6", "host-" + std::to_string(i));
+    }
+    fleet.run_for(millis{5000});
+    const auto writer = fleet.connect("host-6", session_fleet::route_name(0, consistency::primary), "key-0");
+    fleet.run_for(millis{20});
+    REQUIRE(fleet.ask(writer, write_statement("before", "item", "x")).code == result_code::none);
+    // Cut from the store as well, it may use the old leader until its evidence ends; nobody may be promoted before.
+    fleet.cut("host-6", "store");
+    fleet.database(0).instances.at("db0-0").entry.draining = true;
+    const auto began = fleet.now();
+    while (fleet.now() - began < millis{8000}) {
+        const auto answer = fleet.ask(writer, write_statement("w" + std::to_string(fleet.now().since_start), "item", "x"));
+        if (answer.code == result_code::none) {
+            CHECK(fleet.database(0).primary().entry.id == "db0-0");
+        }
+        fleet.run_for(millis{20});
+    }
+    CHECK(fleet.database(0).primary().entry.id != "db0-0");
+}
+
 TEST_CASE("an evacuated data centre loses its leaders and its reads", "[session-fleet][planned]") {
     session_fleet fleet;
     fleet.run_for(start_time);
