--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -14,8 +14,8 @@
 namespace camphorstack {
 
 struct entry_settings {
-    millis document_lifetime{2900};   ///< Without evidence this recent, no request with a key is taken. Below three fifths of the
-                                      ///< time in which a withdrawn key must stop working.
+    millis document_lifetime{3900};   ///< Without evidence this recent, no request with a key is taken. A withdrawn key must stop
+                                      ///< working after 5 s, and watches of the store may be deaf for a second.
     millis token_wait{40};            ///< For a loan of tokens; two ways between regions and the lender's turn.
     millis leader_wait{1500};         ///< For a change of leader to end; a promotion takes 300 to 600 ms.
     millis leader_retry{25};          ///< After the leader answered that it does not lead yet.
--- a/src/camphorstack/settings/parse_session_settings.cpp
+++ b/src/camphorstack/settings/parse_session_settings.cpp
@@ -14,7 +14,7 @@
 constexpr millis one_millisecond{1};
 /// A request with a key is refused once the document's evidence is older than this part of the time in which a withdrawn key must
 /// stop working; the rest covers a store that is late with a change.
-constexpr std::int64_t evidence_share_percent = 58;
+constexpr std::int64_t evidence_share_percent = 78;
 constexpr std::int64_t percent = 100;
 
 void read_regions(settings_reader& reader, session_host_settings& target) {
