--- a/src/camphorstack/contracts/shares.cpp
+++ b/src/camphorstack/contracts/shares.cpp
@@ -47,8 +47,8 @@
     state.members = members;
     for (auto& [id, share] : state.contracts) {
         accrue(share, now);
-        share.former.push_back({successive ? share.parts : 0,
-                                now + (successive ? state.settings.changeover : state.settings.first_wait)});
+        share.former.push_back(
+            {successive ? share.parts : 0, now + (successive ? state.settings.changeover : state.settings.first_wait)});
         choose_holders(state, id, share);
         renew_bounds(share);
     }
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -217,6 +217,27 @@
     return operation.access.workspace.empty() || try_spend(state.shares, operation.access.workspace, now);
 }
 
+/// How long an operation may wait for tokens: as long as a loan takes, or, if the workspace's own rate brings its token soon,
+/// until a refusal would come late. What cannot be served is refused early, and what only a start has emptied is not refused.
+millis token_patience(const session_host_state& state, const open_operation& operation) {
+    constexpr std::int64_t late_divisor = 4;
+    constexpr std::int64_t milliseconds_per_second = 1000;
+    const auto& settings = state.settings.entry;
+    const auto share = state.shares.contracts.find(operation.access.workspace);
+    if (share == state.shares.contracts.end() || share->second.accrual_rate <= 0) {
+        return settings.token_wait;
+    }
+    const auto ahead = std::ranges::count_if(state.waiting_sessions, [&](session_id id) {
+        const auto session = state.sessions.find(id);
+        return session != state.sessions.end() && session->second.operation &&
+               session->second.operation->stage == operation_stage::waiting_for_tokens &&
+               session->second.operation->access.workspace == operation.access.workspace;
+    });
+    const millis expected{(ahead + 1) * request_cost * milliseconds_per_second / share->second.accrual_rate};
+    const auto limit = operation.access.policy.target_latency / late_divisor;
+    return expected <= limit ? std::max(settings.token_wait, limit) : settings.token_wait;
+}
+
 void request_loans(session_host_state& state, instant now) {
     for (auto& loan : due_loan_requests(state.shares, now, state.random)) {
         send_peer(state, loan.lender, std::move(loan.request));
@@ -244,6 +265,7 @@
         admit(state, session, now);
         return;
     }
+    session.operation->tokens_until = now + token_patience(state, *session.operation);
     session.operation->stage = operation_stage::waiting_for_tokens;
     state.waiting_sessions.insert(session.id);
     request_loans(state, now);
@@ -497,7 +519,7 @@
             if (take_tokens(state, operation, now)) {
                 state.waiting_sessions.erase(id);
                 admit(state, session, now);
-            } else if (now - operation.arrived >= state.settings.entry.token_wait) {
+            } else if (now >= operation.tokens_until) {
                 give_up(state, session, result_code::busy, "the workspace's rate and burst are used up", now);
             }
         } else if (operation.stage == operation_stage::waiting_for_leader && now >= operation.not_before) {
--- a/src/camphorstack/sessions/caller_session.hpp
+++ b/src/camphorstack/sessions/caller_session.hpp
@@ -68,6 +68,7 @@
     bool at_leader = false;           ///< No replica is recent enough.
     bool begins_transaction = false;  ///< The first statement of the session's transaction.
     instant not_before;               ///< While waiting for the leader.
+    instant tokens_until;             ///< While waiting for tokens.
 };
 
 /// A caller's connection and what belongs to it until it ends.
