--- a/src/camphorstack/coordination/coordination_messages.hpp
+++ b/src/camphorstack/coordination/coordination_messages.hpp
@@ -46,6 +46,14 @@
     friend bool operator==(const membership_answer&, const membership_answer&) = default;
 };
 
+/// A leader record as the coordinator wrote it, for hosts that the store does not answer now.
+struct leader_news {
+    leader_record record;
+    store_revision revision = 0;  ///< Of the record.
+
+    friend bool operator==(const leader_news&, const leader_news&) = default;
+};
+
 /// The sender has no work left that rests on a leader record before `round`, and starts none.
 struct leader_closed {
     database_id database;
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -135,6 +135,16 @@
     change.call = write_record(state, change.record, stored.revision);
 }
 
+/// Members that the store turns away would else learn of the record only by its evidence running out.
+void tell_members(session_host_state& state, const leader_record& record) {
+    const auto revision = state.catalog.leaders[record.database].revision;
+    for (const auto& host : listed_members(state)) {
+        if (host.id != state.settings.self.id) {
+            send_peer(state, host.id, leader_news{record, revision});
+        }
+    }
+}
+
 /// Status of a candidate, asked for after the hosts' work has ended.
 const endpoint_self_report* status_of(const leader_change& change, const endpoint_id& endpoint) {
     const auto found = change.statuses.find(endpoint);
@@ -263,6 +273,7 @@
         case change_step::recording:
             if (stored.record == change.record) {
                 change.recorded = now;
+                tell_members(state, change.record);
                 watch_of(state, collection::fleet).next_list = now;
                 enter(state, change, change_step::closing, now);
                 closing_tick(state, now);
@@ -408,6 +419,11 @@
     for (auto& [database, change] : duty.changes) {
         advance(state, change, now);
     }
+    for (const auto& [database, change] : duty.changes) {
+        if (is_published(state, change)) {
+            tell_members(state, change.record);
+        }
+    }
     std::erase_if(duty.changes, [&](const auto& item) { return item.second.abandoned || is_published(state, item.second); });
 }
 
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -246,6 +246,15 @@
         return {wire::Body::LeaderClosed, wire::CreateLeaderClosed(this->out, database, body.round).Union()};
     }
 
+    written_body operator()(const leader_news& body) const {
+        const auto& record = body.record;
+        const auto database = this->out.CreateString(record.database);
+        const auto endpoint = this->out.CreateString(record.endpoint);
+        const auto table = wire::CreateLeaderNews(this->out, database, endpoint, number(record.phase), record.planned,
+                                                  record.round, body.revision);
+        return {wire::Body::LeaderNews, table.Union()};
+    }
+
 private:
     FlatBufferBuilder& out;
 };
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -283,6 +283,17 @@
             return this->read(*frame.body_as_MembershipAnswer());
         case wire::Body::LeaderClosed:
             return leader_closed{this->text(frame.body_as_LeaderClosed()->database()), frame.body_as_LeaderClosed()->round()};
+        case wire::Body::LeaderNews: {
+            const auto& table = *frame.body_as_LeaderNews();
+            leader_news news;
+            news.record.database = this->text(table.database());
+            news.record.endpoint = this->text(table.endpoint());
+            news.record.phase = checked_enum(table.phase(), leader_phase::changing);
+            news.record.planned = table.planned();
+            news.record.round = table.round();
+            news.revision = table.revision();
+            return news;
+        }
         case wire::Body::NONE:
             break;
     }
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -86,6 +86,9 @@
 struct LeaderClosed;
 struct LeaderClosedBuilder;
 
+struct LeaderNews;
+struct LeaderNewsBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -109,11 +112,12 @@
   MembershipReport = 16,
   MembershipAnswer = 17,
   LeaderClosed = 18,
+  LeaderNews = 19,
   MIN = NONE,
-  MAX = LeaderClosed
+  MAX = LeaderNews
 };
 
-inline const Body (&EnumValuesBody())[19] {
+inline const Body (&EnumValuesBody())[20] {
   static const Body values[] = {
     Body::NONE,
     Body::Probe,
@@ -133,13 +137,14 @@
     Body::TransactionLeft,
     Body::MembershipReport,
     Body::MembershipAnswer,
-    Body::LeaderClosed
+    Body::LeaderClosed,
+    Body::LeaderNews
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[20] = {
+  static const char * const names[21] = {
     "NONE",
     "Probe",
     "ProbeAnswer",
@@ -159,13 +164,14 @@
     "MembershipReport",
     "MembershipAnswer",
     "LeaderClosed",
+    "LeaderNews",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeaderClosed)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeaderNews)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -246,6 +252,10 @@
   static const Body enum_value = Body::LeaderClosed;
 };
 
+template<> struct BodyTraits<camphorstack::wire::LeaderNews> {
+  static const Body enum_value = Body::LeaderNews;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -2658,6 +2668,125 @@
       round);
 }
 
+struct LeaderNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeaderNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATABASE = 4,
+    VT_ENDPOINT = 6,
+    VT_PHASE = 8,
+    VT_PLANNED = 10,
+    VT_ROUND = 12,
+    VT_REVISION = 14
+  };
+  const flatbuffers::String *database() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATABASE);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint8_t phase() const {
+    return GetField<uint8_t>(VT_PHASE, 0);
+  }
+  bool planned() const {
+    return GetField<uint8_t>(VT_PLANNED, 0) != 0;
+  }
+  uint64_t round() const {
+    return GetField<uint64_t>(VT_ROUND, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DATABASE) &&
+           verifier.VerifyString(database()) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PLANNED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ROUND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LeaderNewsBuilder {
+  typedef LeaderNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_database(flatbuffers::Offset<flatbuffers::String> database) {
+    fbb_.AddOffset(LeaderNews::VT_DATABASE, database);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(LeaderNews::VT_ENDPOINT, endpoint);
+  }
+  void add_phase(uint8_t phase) {
+    fbb_.AddElement<uint8_t>(LeaderNews::VT_PHASE, phase, 0);
+  }
+  void add_planned(bool planned) {
+    fbb_.AddElement<uint8_t>(LeaderNews::VT_PLANNED, static_cast<uint8_t>(planned), 0);
+  }
+  void add_round(uint64_t round) {
+    fbb_.AddElement<uint64_t>(LeaderNews::VT_ROUND, round, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(LeaderNews::VT_REVISION, revision, 0);
+  }
+  explicit LeaderNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeaderNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeaderNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeaderNews> CreateLeaderNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> database = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint8_t phase = 0,
+    bool planned = false,
+    uint64_t round = 0,
+    uint64_t revision = 0) {
+  LeaderNewsBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_round(round);
+  builder_.add_endpoint(endpoint);
+  builder_.add_database(database);
+  builder_.add_planned(planned);
+  builder_.add_phase(phase);
+  return builder_.Finish();
+}
+
+struct LeaderNews::Traits {
+  using type = LeaderNews;
+  static auto constexpr Create = CreateLeaderNews;
+};
+
+inline flatbuffers::Offset<LeaderNews> CreateLeaderNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *database = nullptr,
+    const char *endpoint = nullptr,
+    uint8_t phase = 0,
+    bool planned = false,
+    uint64_t round = 0,
+    uint64_t revision = 0) {
+  auto database__ = database ? _fbb.CreateString(database) : 0;
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return camphorstack::wire::CreateLeaderNews(
+      _fbb,
+      database__,
+      endpoint__,
+      phase,
+      planned,
+      round,
+      revision);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -2734,6 +2863,9 @@
   const camphorstack::wire::LeaderClosed *body_as_LeaderClosed() const {
     return body_type() == camphorstack::wire::Body::LeaderClosed ? static_cast<const camphorstack::wire::LeaderClosed *>(body()) : nullptr;
   }
+  const camphorstack::wire::LeaderNews *body_as_LeaderNews() const {
+    return body_type() == camphorstack::wire::Body::LeaderNews ? static_cast<const camphorstack::wire::LeaderNews *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -2818,6 +2950,10 @@
   return body_as_LeaderClosed();
 }
 
+template<> inline const camphorstack::wire::LeaderNews *Frame::body_as<camphorstack::wire::LeaderNews>() const {
+  return body_as_LeaderNews();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2956,6 +3092,10 @@
       auto ptr = reinterpret_cast<const camphorstack::wire::LeaderClosed *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LeaderNews: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::LeaderNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/camphorstack/session_host/catalog_news.cpp
+++ b/src/camphorstack/session_host/catalog_news.cpp
@@ -83,19 +83,6 @@
     state.coordination.peers_heard.clear();
 }
 
-void adopt_leader(session_host_state& state, const leader_record& record, store_revision revision, instant now) {
-    auto& known = state.catalog.leaders[record.database];
-    if (revision <= known.revision) {
-        return;
-    }
-    known = {record, revision};
-    log_decision(state, "leader_adopted",
-                 "database=" + record.database + " endpoint=" + record.endpoint +
-                     " phase=" + (record.phase == leader_phase::serving ? "serving" : "changing") +
-                     " planned=" + (record.planned ? "yes" : "no") + " round=" + std::to_string(record.round));
-    renew_leader_rights(state, now);
-}
-
 void adopt_claim(session_host_state& state, const absence_claim& record, store_revision revision, instant now) {
     auto& known = state.catalog.claims[record.host];
     if (revision <= known.revision) {
@@ -208,6 +195,19 @@
 
 }  // namespace
 
+void adopt_leader(session_host_state& state, const leader_record& record, store_revision revision, instant now) {
+    auto& known = state.catalog.leaders[record.database];
+    if (revision <= known.revision) {
+        return;
+    }
+    known = {record, revision};
+    log_decision(state, "leader_adopted",
+                 "database=" + record.database + " endpoint=" + record.endpoint +
+                     " phase=" + (record.phase == leader_phase::serving ? "serving" : "changing") +
+                     " planned=" + (record.planned ? "yes" : "no") + " round=" + std::to_string(record.round));
+    renew_leader_rights(state, now);
+}
+
 void adopt_fleet_item(session_host_state& state, const catalog_item& item, instant now) {
     const auto* text = std::get_if<fleet_item>(&item.content);
     if (text == nullptr) {
--- a/src/camphorstack/session_host/catalog_news.hpp
+++ b/src/camphorstack/session_host/catalog_news.hpp
@@ -10,6 +10,9 @@
 /// Takes over a record that this host has written or that the store returned on a conflict.
 void adopt_fleet_item(session_host_state& state, const catalog_item& item, instant now);
 
+/// Takes over a leader record, if it is newer than the known one.
+void adopt_leader(session_host_state& state, const leader_record& record, store_revision revision, instant now);
+
 /// Recomputes owners and what this host may use each endpoint for.
 void renew_endpoint_shares(session_host_state& state, instant now);
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -162,6 +162,11 @@
         receive_leader_closed(this->state, this->from, message);
         leaders_tick(this->state, this->now);
     }
+    void operator()(const leader_news& news) const {
+        adopt_leader(this->state, news.record, news.revision, this->now);
+        closing_tick(this->state, this->now);
+        retry_waiting(this->state, this->now);
+    }
     void operator()(const loan_request& request) const {
         send_peer(this->state, this->from, grant_loan(this->state.shares, this->from, request, this->now));
     }
--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -60,7 +60,8 @@
             transaction_left{12},
             membership_report{host_a, "nonce", host_stage::leaving, {"i-1"}, 5},
             membership_answer{true, 5, {{collection::endpoints, 77, millis{300}}}},
-            leader_closed{"db", 4}};
+            leader_closed{"db", 4},
+            leader_news{{"db", "i-1", leader_phase::changing, true, 5}, 88}};
 }
 
 }  // namespace
--- a/tests/session_fleet/failures.tests.cpp
+++ b/tests/session_fleet/failures.tests.cpp
@@ -134,6 +134,25 @@
     CHECK(fleet.database(0).primary().entry.id != "db0-0");
 }
 
+TEST_CASE("hosts that the store turns away do not hold up a change of leader", "[session-fleet][failover]") {
+    // Incidents inc-2f73 and inc-eae1: they learnt of the record only when their evidence ran out, 2.6 s later.
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    for (const auto* host : {"host-4", "host-5", "host-6"}) {
+        fleet.cut(host, "store");
+    }
+    fleet.run_for(millis{3000});
+    SECTION("planned") {
+        fleet.database(0).instances.at("db0-0").entry.draining = true;
+    }
+    SECTION("crash") {
+        fleet.kill_instance("db0-0");
+    }
+    fleet.run_for(millis{100});
+    CHECK(time_to_write(fleet, "host-1", "near", millis{6000}).count <= 1500);
+    CHECK(time_to_write(fleet, "host-5", "turned away", millis{6000}).count <= 200);
+}
+
 TEST_CASE("a host that only the store and the endpoints reach goes on, and a change of leader waits for it",
           "[session-fleet][former-primary]") {
     session_fleet fleet;
