--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -352,15 +352,14 @@
 
 /// The statement of a transaction that is open at an endpoint did not succeed and is not answered by the endpoint.
 void fail_in_transaction(session_host_state& state, caller_session& session, const run_result& result, instant now) {
-    const bool in_doubt = result.outcome == run_outcome::lost && session.operation->kind == run_kind::commit;
-    if (!in_doubt) {
+    if (session.operation->kind != run_kind::commit) {
         give_up(state, session, result_code::aborted, result.text, now);
         return;
     }
-    // The transaction has ended one way or the other.
-    session.transaction.reset();
-    session.state = session_state::idle;
-    give_up(state, session, result_code::in_doubt, result.text, now);
+    // A commit ends the transaction whatever becomes of it. One that only read has nothing to keep.
+    const bool in_doubt = result.outcome == run_outcome::lost && !session.transaction->read_only;
+    leave_transaction(state, session, now);
+    give_up(state, session, in_doubt ? result_code::in_doubt : result_code::aborted, result.text, now);
 }
 
 caller_session* session_of_run(session_host_state& state, run_id run) {
--- a/tests/session_fleet/sessions.tests.cpp
+++ b/tests/session_fleet/sessions.tests.cpp
@@ -151,6 +151,35 @@
     }
 }
 
+TEST_CASE("a lost commit is in doubt only if its transaction could write, and always ends it", "[session-fleet][transactions]") {
+    // A read-only commit was reported as in doubt, so its caller could not repeat it; others left the session in a failed state.
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    const bool read_only = GENERATE(true, false);
+    const bool lost_before = GENERATE(true, false);
+    const auto session = open_session(fleet, "host-5", consistency::bounded_staleness);
+    fleet.ask(session, read_statement("first", "item"));
+    fleet.run_for(millis{700});
+    fleet.ask(session, plain_statement("b", read_only ? statement_kind::begin_read_only : statement_kind::begin, ""));
+    REQUIRE(fleet.ask(session, read_statement("r", "item")).state == session_state::in_transaction);
+    const auto endpoint = fleet.database(0).runs.back().endpoint;
+    CHECK(endpoint == (read_only ? "db0-2" : "db0-0"));
+    if (lost_before) {
+        fleet.kill_instance(endpoint);
+        fleet.run_for(millis{20});
+    }
+    fleet.send(session, plain_statement("c", statement_kind::commit, "COMMIT"));
+    // Until the commit is at work at the endpoint; the primary's owner is in another region.
+    fleet.run_for(millis{read_only ? 5 : 13});
+    if (!lost_before) {
+        fleet.kill_instance(endpoint);
+    }
+    REQUIRE(fleet.run_until([&] { return fleet.caller(session).order.empty(); }, millis{3000}));
+    const auto& answer = fleet.caller(session).told.back().answer;
+    CHECK(answer.code == (read_only || lost_before ? result_code::aborted : result_code::in_doubt));
+    CHECK(answer.state == session_state::idle);
+}
+
 TEST_CASE("session values and prepared statements follow their session over shared connections", "[session-fleet][values]") {
     // Guards against values of one session that reach the statements of another on the same connection.
     session_fleet fleet;
