--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -293,7 +293,10 @@
     count_operation(state, session, operation, result.code, now);
     if (result.code == result_code::none) {
         note_success(session, operation, result, now);
-        log_decision(state, "request_done", describe(session, operation) + describe_target(operation, now));
+        // Slow ones have a limit of their own, so that many quick ones do not keep them out of the log.
+        const bool is_slow = now - operation.arrived > operation.access.policy.target_latency;
+        log_decision(state, is_slow ? "request_slow" : "request_done",
+                     describe(session, operation) + describe_target(operation, now));
     } else {
         log_decision(state, "request_failed",
                      describe(session, operation) + describe_target(operation, now) + " code=" + to_string(result.code) +
