--- /dev/null
+++ b/src/camphorstack/cli/serve_sessions.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "camphorstack/session_host/session_links.hpp"
+#include "camphorstack/settings/session_settings.hpp"
+
+namespace camphorstack {
+
+/// Opens the links of a session host on the platform that it runs on. Throws io_error.
+using session_links_maker =
+    std::function<std::unique_ptr<session_links>(const session_settings&, const session_event_sink&, session_host_pages)>;
+
+/// Runs one session host until SIGTERM or SIGINT: signals, settings that change, the main loop. Returns the exit code.
+int run_serve_sessions(const std::vector<std::string>& arguments, const session_links_maker& make_links);
+
+}  // namespace camphorstack
