--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -35,7 +35,8 @@
 /// How each collection is followed, in the order of `collection`.
 ///
 /// The coordinator asks the store often and tells the others in its answers to their reports what is newest; these only wait for
-/// changes, and ask themselves once their evidence gets old. So the calls to the store hardly grow with the fleet.
+/// changes, and ask themselves once their evidence gets old. So the calls to the store grow by one in seven seconds for each
+/// host.
 using watch_paces = std::array<collection_watch_settings, collection_count>;
 
 struct session_host_settings {
