--- a/src/camphorstack/cli/command.cpp
+++ b/src/camphorstack/cli/command.cpp
@@ -68,7 +68,11 @@
 
 std::string list_commands(const std::vector<command>& commands) {
     std::string text = "usage: camphorstack COMMAND [ARGUMENTS] [FLAGS]\n\ncommands:\n";
-    constexpr std::size_t column = 16;
+    constexpr std::size_t least_column = 10;
+    std::size_t column = least_column;
+    for (const auto& entry : commands) {
+        column = std::max(column, entry.name.size() + 2);
+    }
     for (const auto& entry : commands) {
         text += "  " + entry.name + std::string(column - std::min(column - 1, entry.name.size()), ' ') + entry.summary + "\n";
     }
