Do not take the store's revision of a watch's answer for knowledge of all changes before it

Cause: a watch that was deaf answered with the store's revision; a host then counted itself as knowing what the coordinator told it of, so its right to use the old leader was renewed. Only whole reads and the changes themselves count now.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -68,7 +68,8 @@
     }
     watch.next_watch = now;
     note_evidence(watch, sent);
-    note_revision(watch, answer.revision, answer.items);
+    // The store's revision proves nothing here: a watch that was deaf may have skipped changes before it.
+    note_revision(watch, 0, answer.items);
     if (answer.items.empty() && answer.removed.empty()) {
         return std::nullopt;
     }
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -38,7 +38,7 @@
     collection_watch_settings settings;
     bool listed = false;               ///< The first list is complete.
     store_revision revision = 0;       ///< Changes up to here are known, and watches start from here.
-    store_revision seen_revision = 0;  ///< Of the store, when it was last found to hold nothing newer of the collection.
+    store_revision seen_revision = 0;  ///< Of the store, when the collection was last read whole.
     store_revision last_change = 0;    ///< Newest change of the collection that is known.
     store_revision listing_revision = 0;
     std::string after;                  ///< Last name of an incomplete list.
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -64,6 +64,11 @@
     CHECK(watch.evidence == instant{10});
     const auto again = due_calls(watch, next, instant{1010})[0];
     CHECK(again.revision == 40);
+    // A read ran at a former primary (scale-1 of hrna-camphor): the store's revision of such an answer passed for knowledge.
+    receive_evidence(watch, {collection::evacuations, 80, millis{10}}, instant{1050}, instant{1060});
+    CHECK(watch.evidence == instant{10});
+    CHECK(watch.list_wanted);
+    watch.list_wanted = false;
     CHECK(receive_answer(watch, answer_to(again, 95, {item("a", 80)}), instant{1100}));
     CHECK(due_calls(watch, next, instant{1100})[0].revision == 95);
 }
