Ask holders for single tokens instead of borrowing rate and burst on session hosts

Shares of 73 workspaces lie at 8 of 61 hosts; each loan moves room to the borrower for a second, so single operations that arrive at many hosts drain the lenders.

Ruled out: slots and connections (no refusal names them), processor time.

Change: a host without tokens asks a holder to spend them for the operations that wait. Nothing is lent, so nothing is missing at the holder. Holders are one host in each data centre, six at most; the own data centre's is asked first. Refusals name the time to come back. Loans stay for fleets that serve single requests.

--- a/src/camphorstack/contracts/contract_share.hpp
+++ b/src/camphorstack/contracts/contract_share.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "camphorstack/contracts/loan.hpp"
+#include "camphorstack/contracts/remote_tokens.hpp"
 #include "camphorstack/support/clock.hpp"
 #include "camphorstack/support/ids.hpp"
 
@@ -88,9 +89,11 @@
     double demand_per_s = 0;  ///< Estimated spending in millitokens per second, at `last_attempt`.
     instant last_attempt;
     instant last_shortage;     ///< When a request last found too few tokens.
+    instant last_refusal;      ///< When a request was last refused for want of tokens.
     std::int64_t waiting = 0;  ///< Requests that wait for tokens.
     std::map<host_id, lender_memory> lenders;
     std::map<std::uint64_t, open_loan> open_loans;  ///< By sequence number.
+    remote_tokens remote;                           ///< Used if holders are asked for single tokens.
 };
 
 /// Own burst room at `at`, without what is lent: the smallest of the current and the former shares that still count.
--- a/src/camphorstack/contracts/shares.cpp
+++ b/src/camphorstack/contracts/shares.cpp
@@ -1,6 +1,7 @@
 #include "camphorstack/contracts/shares.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 #include "camphorstack/hosts/owners.hpp"
 
@@ -8,11 +9,37 @@
 
 namespace {
 
+/// Other holders in the order in which this host asks them for tokens: those of its own data centre first, then in an order of
+/// its own, so that hosts do not all turn to the same one.
+std::vector<host_id> order_holders(const share_state& state, const std::vector<host_id>& holders) {
+    const auto& hosts = state.members.hosts;
+    const auto location_of = [&hosts](const host_id& id) {
+        const auto found = std::ranges::find(hosts, id, &member::id);
+        return found == hosts.end() ? data_centre_id() : found->location;
+    };
+    const auto own_location = location_of(state.self);
+    std::vector<std::tuple<bool, double, host_id>> ranked;
+    for (const auto& id : holders) {
+        if (id != state.self) {
+            ranked.emplace_back(location_of(id) != own_location, rendezvous_score(state.self, id, 1.0), id);
+        }
+    }
+    std::ranges::sort(ranked);
+    std::vector<host_id> ordered;
+    for (const auto& [is_far, score, id] : ranked) {
+        ordered.push_back(id);
+    }
+    return ordered;
+}
+
 void choose_holders(const share_state& state, const workspace_id& id, contract_share& share) {
     share.holders = choose_share_holders(state.members, id, state.settings.max_holders, state.settings.all_hold_up_to);
     const bool holds = std::ranges::binary_search(share.holders, state.self);
     share.parts = holds ? share.holders.size() : 0;
     std::erase_if(share.lenders, [&share](const auto& entry) { return !std::ranges::binary_search(share.holders, entry.first); });
+    share.remote.holders = order_holders(state, share.holders);
+    std::erase_if(share.remote.empty,
+                  [&share](const auto& entry) { return !std::ranges::binary_search(share.holders, entry.first); });
 }
 
 }  // namespace
@@ -61,6 +88,11 @@
     }
     auto& share = found->second;
     accrue(share, now);
+    if (share.tokens < request_cost && take_granted(share.remote, now)) {
+        share.waiting = std::max<std::int64_t>(0, share.waiting - 1);
+        note_demand(share, now);
+        return true;
+    }
     if (share.tokens < request_cost) {
         share.last_attempt = std::max(share.last_attempt, now);
         share.last_shortage = now;
--- a/src/camphorstack/contracts/shares.hpp
+++ b/src/camphorstack/contracts/shares.hpp
@@ -8,6 +8,7 @@
 
 #include "camphorstack/contracts/contract_share.hpp"
 #include "camphorstack/contracts/loan.hpp"
+#include "camphorstack/contracts/token_request.hpp"
 #include "camphorstack/document/document.hpp"
 #include "camphorstack/hosts/member.hpp"
 #include "camphorstack/support/random.hpp"
@@ -56,6 +57,36 @@
 /// Spends one request's tokens. False if this host's tokens do not suffice; the caller may wait for a loan.
 bool try_spend(share_state& state, const workspace_id& id, instant now);
 
+/// A request for tokens and the holder that it goes to.
+struct addressed_token_request {
+    host_id holder;
+    token_request request;
+
+    friend bool operator==(const addressed_token_request&, const addressed_token_request&) = default;
+};
+
+/// Requests for the tokens that waiting operations lack. A fleet uses either these or loans: borrowed room is missing at the
+/// lender until the loan ends, which starves workspaces whose operations arrive at many hosts.
+std::vector<addressed_token_request> due_token_requests(share_state& state, instant now);
+
+/// Spends this host's tokens for operations that wait at another host.
+token_grant spend_for(share_state& state, const token_request& request, instant now);
+
+/// Credits a grant. One that answers no open request, or comes too late, is ignored.
+void receive_token_grant(share_state& state, const host_id& holder, const token_grant& grant, instant now);
+
+/// The request did not reach its holder, which is then not asked for a while.
+void return_token_request(share_state& state, const host_id& holder, const token_request& request, instant now);
+
+/// An operation of the workspace was refused for want of tokens.
+void note_refusal(share_state& state, const workspace_id& id, instant now);
+
+/// True if the workspace is over its rate, by what this host has seen.
+[[nodiscard]] bool was_refused_lately(const share_state& state, const workspace_id& id, instant now);
+
+/// Earliest moment at which an operation of the workspace that finds no token may get one, as far as this host knows.
+[[nodiscard]] instant next_token(const share_state& state, const workspace_id& id, instant now);
+
 /// Tells how many requests of a workspace wait for tokens after `try_spend` failed, so that enough is borrowed for all of them.
 /// Without this call one is assumed.
 void note_waiting(share_state& state, const workspace_id& id, std::size_t count);
--- a/src/camphorstack/hosts/owners.cpp
+++ b/src/camphorstack/hosts/owners.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <map>
 #include <tuple>
 
@@ -87,8 +88,25 @@
 
 std::vector<host_id> choose_share_holders(const member_list& members, const workspace_id& id, std::size_t max_holders,
                                           std::size_t all_hold_up_to) {
-    const auto count = members.hosts.size() <= all_hold_up_to ? members.hosts.size() : max_holders;
-    return choose_hosts(members.hosts, "shares/" + id, count);
+    const auto name = "shares/" + id;
+    const auto& hosts = members.hosts;
+    if (hosts.size() <= all_hold_up_to) {
+        return choose_hosts(hosts, name, hosts.size());
+    }
+    std::map<data_centre_id, std::pair<double, host_id>> best;
+    for (const auto& host : hosts) {
+        auto& chosen = best[host.location];
+        chosen = std::max(chosen, std::pair(rendezvous_score(name, host.id, 1.0), host.id));
+    }
+    std::vector<member> first;
+    std::vector<member> rest;
+    for (const auto& host : hosts) {
+        (best.at(host.location).second == host.id ? first : rest).push_back(host);
+    }
+    auto holders = choose_hosts(first, name, max_holders);
+    std::ranges::copy(choose_hosts(rest, name, max_holders - holders.size()), std::back_inserter(holders));
+    std::ranges::sort(holders);
+    return holders;
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/hosts/owners.hpp
+++ b/src/camphorstack/hosts/owners.hpp
@@ -31,8 +31,8 @@
 /// Watchers of the platform by rendezvous over the agreed member list; sorted by id.
 [[nodiscard]] std::vector<host_id> choose_watchers(const member_list& members);
 
-/// Hosts that hold a share of a workspace's contract: all members up to `all_hold_up_to`, else `max_holders` of them; sorted by
-/// id.
+/// Hosts that hold a share of a workspace's contract: all members up to `all_hold_up_to`, else `max_holders` of them, from as
+/// many data centres as possible; sorted by id.
 [[nodiscard]] std::vector<host_id> choose_share_holders(const member_list& members, const workspace_id& id,
                                                         std::size_t max_holders, std::size_t all_hold_up_to);
 
--- a/src/camphorstack/hosts/peer_message.hpp
+++ b/src/camphorstack/hosts/peer_message.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "camphorstack/contracts/loan.hpp"
+#include "camphorstack/contracts/token_request.hpp"
 #include "camphorstack/coordination/coordination_messages.hpp"
 #include "camphorstack/document/document.hpp"
 #include "camphorstack/executors/run.hpp"
@@ -93,9 +94,10 @@
     friend bool operator==(const forward_reply&, const forward_reply&) = default;
 };
 
-using peer_body = std::variant<probe, probe_answer, relay_probe, relay_answer, document_request, document_reply, members_request,
-                               members_reply, forward_request, forward_reply, loan_request, loan_grant, run_request, run_result,
-                               transaction_left, membership_report, membership_answer, leader_closed, leader_news>;
+using peer_body =
+    std::variant<probe, probe_answer, relay_probe, relay_answer, document_request, document_reply, members_request, members_reply,
+                 forward_request, forward_reply, loan_request, loan_grant, run_request, run_result, transaction_left,
+                 membership_report, membership_answer, leader_closed, leader_news, token_request, token_grant>;
 
 struct peer_message {
     host_id from;
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -152,6 +152,18 @@
         return {wire::Body::LoanGrant, table.Union()};
     }
 
+    written_body operator()(const token_request& body) const {
+        const auto workspace = this->out.CreateString(body.workspace);
+        const auto table = wire::CreateTokenRequest(this->out, body.sequence, workspace, body.operations);
+        return {wire::Body::TokenRequest, table.Union()};
+    }
+
+    written_body operator()(const token_grant& body) const {
+        const auto workspace = this->out.CreateString(body.workspace);
+        const auto table = wire::CreateTokenGrant(this->out, body.sequence, workspace, body.operations, body.next_token.count);
+        return {wire::Body::TokenGrant, table.Union()};
+    }
+
     written_body operator()(const run_request& body) const {
         const auto endpoint = this->out.CreateString(body.endpoint);
         const auto workspace = this->out.CreateString(body.workspace);
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -271,6 +271,15 @@
                               not_negative(table.rate_per_s()),
                               millis{not_negative(table.duration_ms())}};
         }
+        case wire::Body::TokenRequest: {
+            const auto& table = *frame.body_as_TokenRequest();
+            return token_request{table.sequence(), this->text(table.workspace()), not_negative(table.operations())};
+        }
+        case wire::Body::TokenGrant: {
+            const auto& table = *frame.body_as_TokenGrant();
+            return token_grant{table.sequence(), this->text(table.workspace()), not_negative(table.operations()),
+                               millis{not_negative(table.next_token_ms())}};
+        }
         case wire::Body::RunRequest:
             return this->read(*frame.body_as_RunRequest());
         case wire::Body::RunResult:
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -89,6 +89,12 @@
 struct LeaderNews;
 struct LeaderNewsBuilder;
 
+struct TokenRequest;
+struct TokenRequestBuilder;
+
+struct TokenGrant;
+struct TokenGrantBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -113,11 +119,13 @@
   MembershipAnswer = 17,
   LeaderClosed = 18,
   LeaderNews = 19,
+  TokenRequest = 20,
+  TokenGrant = 21,
   MIN = NONE,
-  MAX = LeaderNews
+  MAX = TokenGrant
 };
 
-inline const Body (&EnumValuesBody())[20] {
+inline const Body (&EnumValuesBody())[22] {
   static const Body values[] = {
     Body::NONE,
     Body::Probe,
@@ -138,13 +146,15 @@
     Body::MembershipReport,
     Body::MembershipAnswer,
     Body::LeaderClosed,
-    Body::LeaderNews
+    Body::LeaderNews,
+    Body::TokenRequest,
+    Body::TokenGrant
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[21] = {
+  static const char * const names[23] = {
     "NONE",
     "Probe",
     "ProbeAnswer",
@@ -165,13 +175,15 @@
     "MembershipAnswer",
     "LeaderClosed",
     "LeaderNews",
+    "TokenRequest",
+    "TokenGrant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LeaderNews)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TokenGrant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -256,6 +268,14 @@
   static const Body enum_value = Body::LeaderNews;
 };
 
+template<> struct BodyTraits<camphorstack::wire::TokenRequest> {
+  static const Body enum_value = Body::TokenRequest;
+};
+
+template<> struct BodyTraits<camphorstack::wire::TokenGrant> {
+  static const Body enum_value = Body::TokenGrant;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -2787,6 +2807,180 @@
       revision);
 }
 
+struct TokenRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_WORKSPACE = 6,
+    VT_OPERATIONS = 8
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  int64_t operations() const {
+    return GetField<int64_t>(VT_OPERATIONS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<int64_t>(verifier, VT_OPERATIONS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct TokenRequestBuilder {
+  typedef TokenRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(TokenRequest::VT_SEQUENCE, sequence, 0);
+  }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(TokenRequest::VT_WORKSPACE, workspace);
+  }
+  void add_operations(int64_t operations) {
+    fbb_.AddElement<int64_t>(TokenRequest::VT_OPERATIONS, operations, 0);
+  }
+  explicit TokenRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TokenRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TokenRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TokenRequest> CreateTokenRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    int64_t operations = 0) {
+  TokenRequestBuilder builder_(_fbb);
+  builder_.add_operations(operations);
+  builder_.add_sequence(sequence);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+struct TokenRequest::Traits {
+  using type = TokenRequest;
+  static auto constexpr Create = CreateTokenRequest;
+};
+
+inline flatbuffers::Offset<TokenRequest> CreateTokenRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    const char *workspace = nullptr,
+    int64_t operations = 0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return camphorstack::wire::CreateTokenRequest(
+      _fbb,
+      sequence,
+      workspace__,
+      operations);
+}
+
+struct TokenGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TokenGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_WORKSPACE = 6,
+    VT_OPERATIONS = 8,
+    VT_NEXT_TOKEN_MS = 10
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  int64_t operations() const {
+    return GetField<int64_t>(VT_OPERATIONS, 0);
+  }
+  int64_t next_token_ms() const {
+    return GetField<int64_t>(VT_NEXT_TOKEN_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<int64_t>(verifier, VT_OPERATIONS, 8) &&
+           VerifyField<int64_t>(verifier, VT_NEXT_TOKEN_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct TokenGrantBuilder {
+  typedef TokenGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(TokenGrant::VT_SEQUENCE, sequence, 0);
+  }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(TokenGrant::VT_WORKSPACE, workspace);
+  }
+  void add_operations(int64_t operations) {
+    fbb_.AddElement<int64_t>(TokenGrant::VT_OPERATIONS, operations, 0);
+  }
+  void add_next_token_ms(int64_t next_token_ms) {
+    fbb_.AddElement<int64_t>(TokenGrant::VT_NEXT_TOKEN_MS, next_token_ms, 0);
+  }
+  explicit TokenGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TokenGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TokenGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TokenGrant> CreateTokenGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    int64_t operations = 0,
+    int64_t next_token_ms = 0) {
+  TokenGrantBuilder builder_(_fbb);
+  builder_.add_next_token_ms(next_token_ms);
+  builder_.add_operations(operations);
+  builder_.add_sequence(sequence);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+struct TokenGrant::Traits {
+  using type = TokenGrant;
+  static auto constexpr Create = CreateTokenGrant;
+};
+
+inline flatbuffers::Offset<TokenGrant> CreateTokenGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    const char *workspace = nullptr,
+    int64_t operations = 0,
+    int64_t next_token_ms = 0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return camphorstack::wire::CreateTokenGrant(
+      _fbb,
+      sequence,
+      workspace__,
+      operations,
+      next_token_ms);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -2866,6 +3060,12 @@
   const camphorstack::wire::LeaderNews *body_as_LeaderNews() const {
     return body_type() == camphorstack::wire::Body::LeaderNews ? static_cast<const camphorstack::wire::LeaderNews *>(body()) : nullptr;
   }
+  const camphorstack::wire::TokenRequest *body_as_TokenRequest() const {
+    return body_type() == camphorstack::wire::Body::TokenRequest ? static_cast<const camphorstack::wire::TokenRequest *>(body()) : nullptr;
+  }
+  const camphorstack::wire::TokenGrant *body_as_TokenGrant() const {
+    return body_type() == camphorstack::wire::Body::TokenGrant ? static_cast<const camphorstack::wire::TokenGrant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -2954,6 +3154,14 @@
   return body_as_LeaderNews();
 }
 
+template<> inline const camphorstack::wire::TokenRequest *Frame::body_as<camphorstack::wire::TokenRequest>() const {
+  return body_as_TokenRequest();
+}
+
+template<> inline const camphorstack::wire::TokenGrant *Frame::body_as<camphorstack::wire::TokenGrant>() const {
+  return body_as_TokenGrant();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3096,6 +3304,14 @@
       auto ptr = reinterpret_cast<const camphorstack::wire::LeaderNews *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::TokenRequest: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::TokenRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TokenGrant: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::TokenGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -217,30 +217,47 @@
     return operation.access.workspace.empty() || try_spend(state.shares, operation.access.workspace, now);
 }
 
-/// How long an operation may wait for tokens: as long as a loan takes, or, if the workspace's own rate brings its token soon,
-/// until a refusal would come late. What cannot be served is refused early, and what only a start has emptied is not refused.
-millis token_patience(const session_host_state& state, const open_operation& operation) {
+/// How long an operation may wait for tokens: until a refusal would come late, or, in a workspace that is over its rate, as long
+/// as holders take to answer.
+millis token_patience(const session_host_state& state, const open_operation& operation, instant now) {
     constexpr std::int64_t late_divisor = 4;
-    constexpr std::int64_t milliseconds_per_second = 1000;
-    const auto& settings = state.settings.entry;
-    const auto share = state.shares.contracts.find(operation.access.workspace);
-    if (share == state.shares.contracts.end() || share->second.accrual_rate <= 0) {
-        return settings.token_wait;
-    }
-    const auto ahead = std::ranges::count_if(state.waiting_sessions, [&](session_id id) {
+    const auto shortest = state.settings.entry.token_wait;
+    const bool is_over = was_refused_lately(state.shares, operation.access.workspace, now);
+    return is_over ? shortest : std::max(shortest, operation.access.policy.target_latency / late_divisor);
+}
+
+/// Refuses an operation that waits for tokens if it can get none in its time. True if it was refused.
+bool refuse_without_token(session_host_state& state, caller_session& session, instant now) {
+    const auto& operation = *session.operation;
+    const auto next = next_token(state.shares, operation.access.workspace, now);
+    if (now < operation.tokens_until && next < operation.tokens_until) {
+        return false;
+    }
+    note_refusal(state.shares, operation.access.workspace, now);
+    // A token that is expected in time may be used by another operation first.
+    const auto pause = std::max(next - now, state.settings.entry.token_wait);
+    give_up(state, session, result_code::busy,
+            "the workspace's rate and burst are used up; try again in " + std::to_string(pause.count) + " ms", now);
+    return true;
+}
+
+/// Asks other hosts for the tokens that waiting operations lack.
+void request_tokens(session_host_state& state, instant now) {
+    std::map<workspace_id, std::size_t> waiting;
+    for (const auto id : state.waiting_sessions) {
         const auto session = state.sessions.find(id);
-        return session != state.sessions.end() && session->second.operation &&
-               session->second.operation->stage == operation_stage::waiting_for_tokens &&
-               session->second.operation->access.workspace == operation.access.workspace;
-    });
-    const millis expected{(ahead + 1) * request_cost * milliseconds_per_second / share->second.accrual_rate};
-    const auto limit = operation.access.policy.target_latency / late_divisor;
-    return expected <= limit ? std::max(settings.token_wait, limit) : settings.token_wait;
-}
-
-void request_loans(session_host_state& state, instant now) {
-    for (auto& loan : due_loan_requests(state.shares, now, state.random)) {
-        send_peer(state, loan.lender, std::move(loan.request));
+        const bool waits = session != state.sessions.end() && session->second.operation &&
+                           session->second.operation->stage == operation_stage::waiting_for_tokens;
+        if (waits) {
+            ++waiting[session->second.operation->access.workspace];
+        }
+    }
+    for (const auto& [workspace, share] : state.shares.contracts) {
+        const auto found = waiting.find(workspace);
+        note_waiting(state.shares, workspace, found == waiting.end() ? 0 : found->second);
+    }
+    for (auto& asked : due_token_requests(state.shares, now)) {
+        send_peer(state, asked.holder, std::move(asked.request));
     }
 }
 
@@ -265,10 +282,13 @@
         admit(state, session, now);
         return;
     }
-    session.operation->tokens_until = now + token_patience(state, *session.operation);
+    session.operation->tokens_until = now + token_patience(state, *session.operation, now);
     session.operation->stage = operation_stage::waiting_for_tokens;
+    if (refuse_without_token(state, session, now)) {
+        return;
+    }
     state.waiting_sessions.insert(session.id);
-    request_loans(state, now);
+    request_tokens(state, now);
 }
 
 void note_position(session_host_state& state, const database_id& database, const run_result& result, instant asked) {
@@ -521,13 +541,16 @@
             if (take_tokens(state, operation, now)) {
                 state.waiting_sessions.erase(id);
                 admit(state, session, now);
-            } else if (now >= operation.tokens_until) {
-                give_up(state, session, result_code::busy, "the workspace's rate and burst are used up", now);
+            } else {
+                refuse_without_token(state, session, now);
             }
         } else if (operation.stage == operation_stage::waiting_for_leader && now >= operation.not_before) {
             dispatch(state, session, now);
         }
     }
+    if (!state.waiting_sessions.empty()) {
+        request_tokens(state, now);
+    }
 }
 
 void entry_tick(session_host_state& state, instant now) {
@@ -558,10 +581,6 @@
     retry_waiting(state, now);
     ask_for_positions(state, now);
     end_idle_transactions(state, now);
-    for (auto& returned : due_returns(state.shares, now)) {
-        send_peer(state, returned.receiver, std::move(returned.grant));
-    }
-    request_loans(state, now);
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -167,11 +167,11 @@
         closing_tick(this->state, this->now);
         retry_waiting(this->state, this->now);
     }
-    void operator()(const loan_request& request) const {
-        send_peer(this->state, this->from, grant_loan(this->state.shares, this->from, request, this->now));
+    void operator()(const token_request& request) const {
+        send_peer(this->state, this->from, spend_for(this->state.shares, request, this->now));
     }
-    void operator()(const loan_grant& grant) const {
-        receive_loan(this->state.shares, this->from, grant, this->now);
+    void operator()(const token_grant& grant) const {
+        receive_token_grant(this->state.shares, this->from, grant, this->now);
         retry_waiting(this->state, this->now);
     }
     /// Messages between hosts that serve single requests do not concern a session host.
@@ -221,6 +221,9 @@
         this->note_unreachable(event.peer);
         if (const auto* request = std::get_if<run_request>(&event.body)) {
             return_unsent_run(this->state, request->id, this->now);
+        } else if (const auto* wanted = std::get_if<token_request>(&event.body)) {
+            return_token_request(this->state.shares, event.peer, *wanted, this->now);
+            retry_waiting(this->state, this->now);
         }
     }
     void note_unreachable(const host_id& peer) const {
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -66,7 +66,7 @@
     /// Hosts learn of a member list within milliseconds. One that is cut off may act on the old list until its evidence ends, 2.9
     /// s; what it then has too much, a seventh part of the rate against a sixth, stays within the tenth by which a limit may be
     /// passed.
-    share_settings shares{millis{1000}, millis{1100}, 8, 16, millis{0}};
+    share_settings shares{millis{1000}, millis{1100}, 6, 16, millis{0}};
 
     friend bool operator==(const session_host_settings&, const session_host_settings&) = default;
 };
--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -30,6 +30,8 @@
             forward_reply{reply},
             loan_request{1, "ws", 6, 5000, 2500, millis{500}},
             loan_grant{1, "ws", 6, 0, 2500, millis{500}},
+            token_request{3, "ws", 2},
+            token_grant{3, "ws", 1, millis{40}},
             run_request{7,
                         "i-1",
                         "ws",
