--- a/tests/contracts/limits_measure.tests.cpp
+++ b/tests/contracts/limits_measure.tests.cpp
@@ -115,7 +115,9 @@
         return std::make_unique<allocator_fleet>(1, content, host_count, latency);
     }
     auto fleet = std::make_unique<share_fleet>(1, content, latency);
-    fleet->loans = name == "loans";
+    fleet->source = name == "loans"      ? share_fleet::token_source::loans
+                    : name == "requests" ? share_fleet::token_source::requests
+                                         : share_fleet::token_source::none;
     std::vector<host_id> members;
     for (std::size_t i = 0; i < host_count; ++i) {
         fleet->start(host_name(i));
@@ -149,12 +151,12 @@
 TEST_CASE("wrongful refusals under skewed and moving load", "[measure]") {
     for (const auto& [user, scale] : {std::pair<std::string, std::int64_t>{"authority", 1}, {"reparoo", 2}}) {
         for (const auto& [pattern, where] : placements) {
-            for (const std::string scheme : {"loans", "static", "allocator"}) {
+            for (const std::string scheme : {"loans", "static", "allocator", "requests"}) {
                 print_and_check(user, scale, pattern, {where}, 8_ms, scheme);
             }
         }
         print_and_check(user, scale, "moving", {placements.back().second}, 1_ms, "loans");
-        for (const std::string scheme : {"loans", "static", "allocator"}) {
+        for (const std::string scheme : {"loans", "static", "allocator", "requests"}) {
             print_and_check(user, scale, "one_host_h0_pauses", {placements[1].second, 0.8, 1, true}, 8_ms, scheme);
             print_and_check(user, scale, "first_sends_tenfold", {placements[3].second, 0.8, 10}, 8_ms, scheme);
         }
--- a/tests/contracts/share_fleet.hpp
+++ b/tests/contracts/share_fleet.hpp
@@ -81,15 +81,18 @@
 /// Hosts that share contracts and lend to each other over a simulated network.
 class share_fleet final : public admission_scheme {
 public:
-    using body = std::variant<loan_request, loan_grant>;
+    using body = std::variant<loan_request, loan_grant, token_request, token_grant>;
     /// A host that has not learned of a member list after this long has no recent evidence and serves nobody.
     static constexpr millis recency{2000};
 
-    share_fleet(std::uint64_t seed, document first_content, simulated_network<body>::latency_function latency = fleet_latency)
-        : network{seed, std::move(latency)}, content{std::move(first_content)}, settings{} {}
+    share_fleet(std::uint64_t seed, document first_content, simulated_network<body>::latency_function latency = fleet_latency,
+                share_settings wanted = {})
+        : network{seed, std::move(latency)}, content{std::move(first_content)}, settings{wanted} {}
 
     simulated_network<body> network;
-    bool loans = true;  ///< Without loans the shares are static.
+    /// How hosts get tokens that their shares lack. With `none` the shares are static.
+    enum class token_source { none, loans, requests };
+    token_source source = token_source::loans;
 
     /// Starts a process with empty state; it learns the document at once and the member list like every host.
     void start(const host_id& id) {
@@ -199,7 +202,12 @@
         for (const auto& item : this->content.workspaces) {
             note_waiting(host.shares, item.id, host.waiting.count(item.id));
         }
-        if (this->loans) {
+        if (this->source == token_source::requests) {
+            for (const auto& due : due_token_requests(host.shares, local)) {
+                this->network.send(id, due.holder, due.request);
+            }
+        }
+        if (this->source == token_source::loans) {
             for (const auto& due : due_returns(host.shares, local)) {
                 this->network.send(id, due.receiver, due.grant);
             }
@@ -218,6 +226,10 @@
         const auto local = this->network.local_now(to);
         if (const auto* request = std::get_if<loan_request>(&message)) {
             this->network.send(to, from, grant_loan(shares, from, *request, local));
+        } else if (const auto* wanted = std::get_if<token_request>(&message)) {
+            this->network.send(to, from, spend_for(shares, *wanted, local));
+        } else if (const auto* granted = std::get_if<token_grant>(&message)) {
+            receive_token_grant(shares, from, *granted, local);
         } else {
             receive_loan(shares, from, std::get<loan_grant>(message), local);
         }
