--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -78,7 +78,6 @@
         // When exactly an object went is not told.
         watch.last_change = std::max(watch.last_change, answer.revision);
     }
-    watch.next_watch = now + watch.settings.change_pause;
     return collection_news{false, answer.items, answer.removed};
 }
 
@@ -127,9 +126,6 @@
     }
     if (std::max(watch.seen_revision, watch.last_change) >= told.last_change) {
         note_evidence(watch, asked - told.age);
-    } else if (!watch.watching && watch.next_watch > now) {
-        // The pause after the last change ends; a watch tells the newer ones at once.
-        watch.next_watch = now;
     } else if (!watch.listing) {
         watch.next_list = now;
         watch.list_wanted = true;
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -17,9 +17,6 @@
     millis answer_timeout;  ///< Beyond the time that the store may take.
     millis retry_interval;  ///< After a failed call.
     millis evidence_limit;  ///< The collection is read anew when the evidence is older, as a watch may be silent; 0 for never.
-    /// Between an answer with changes and the next watch. Many changes at once, as at the start of a fleet, would otherwise each
-    /// cost one call of every host.
-    millis change_pause{0};
 
     friend bool operator==(const collection_watch_settings&, const collection_watch_settings&) = default;
 };
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -53,13 +53,12 @@
         {millis{1000}, millis{0}, millis{700}, millis{300}, millis{0}},
         {millis{28000}, millis{700}, millis{700}, millis{200}, millis{0}},
     }};
-    /// The limits leave the coordinator's evidence one report's interval. The longest watch that the store allows is 30 s. The
-    /// pauses are as long as a report's interval: what the coordinator tells ends them earlier.
+    /// The limits leave the coordinator's evidence one report's interval. The longest watch that the store allows is 30 s.
     watch_paces watches{{
         {millis{28000}, millis{0}, millis{700}, millis{300}, millis{2100}},
-        {millis{28000}, millis{0}, millis{700}, millis{300}, millis{4000}, millis{500}},
+        {millis{28000}, millis{0}, millis{700}, millis{300}, millis{4000}},
         {millis{28000}, millis{0}, millis{700}, millis{300}, millis{3000}},
-        {millis{28000}, millis{0}, millis{700}, millis{200}, millis{1500}, millis{500}},
+        {millis{28000}, millis{0}, millis{700}, millis{200}, millis{1500}},
     }};
     entry_settings entry;
     executor_settings executor;
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -134,31 +134,3 @@
                     format_error);
     CHECK_THROWS_AS(parse_fleet_record("coordinator", R"({"fence":1})"), format_error);
 }
-
-// Guards against one call of every host for each of many changes at once: 1,464 calls at the start of 61 hosts.
-TEST_CASE("after a change the next watch pauses, unless another host knows of more", "[collection-watch]") {
-    auto watch = make_watch();
-    watch.settings.change_pause = millis{500};
-    std::uint64_t next = 1;
-    receive_answer(watch, answer_to(due_calls(watch, next, instant{0})[0], 40), instant{5});
-    const auto call = due_calls(watch, next, instant{10})[0];
-    REQUIRE(receive_answer(watch, answer_to(call, 50, {item("a", 50)}), instant{100}));
-    CHECK(due_calls(watch, next, instant{599}).empty());
-    SECTION("until its end") {
-        const auto calls = due_calls(watch, next, instant{600});
-        REQUIRE(calls.size() == 1);
-        CHECK((calls[0].operation == catalog_operation::watch && calls[0].revision == 50));
-    }
-    SECTION("until another host tells of a newer change") {
-        receive_evidence(watch, {collection::evacuations, 60, millis{10}}, instant{150}, instant{200});
-        CHECK(watch.evidence == instant{10});
-        const auto calls = due_calls(watch, next, instant{200});
-        REQUIRE(calls.size() == 1);
-        CHECK((calls[0].operation == catalog_operation::watch && calls[0].revision == 50));
-    }
-    SECTION("and what another host knows counts as before") {
-        receive_evidence(watch, {collection::evacuations, 50, millis{10}}, instant{150}, instant{200});
-        CHECK(watch.evidence == instant{140});
-        CHECK(due_calls(watch, next, instant{200}).empty());
-    }
-}
