Let followers read the store's collections when the coordinator tells of changes, without watches

Every host watched four collections, so each change cost a call of every host, 1,464 for endpoints at the start alone, and while the store was away each of the four asked anew every 200 to 300 ms.

Change: followers do not watch. The coordinator's answers to their reports name the newest change of each collection; a host reads what it lacks. Retries double up to 2.4 s (0.6 s for the document), are that slow while the coordinator's evidence is fresh, and start anew with the store's first answer.

Tests failed before: a watch was due at once; four calls in 800 ms.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -13,6 +13,26 @@
     watch.next_list = next;
 }
 
+/// Evidence this recent, of whatever host, makes a call of this one less urgent.
+constexpr millis fresh_evidence{1500};
+constexpr int most_doublings = 4;
+
+/// Counts a call without an answer. Returns the pause before the next one.
+millis note_failure(collection_watch& watch, instant now) {
+    watch.reachable = false;
+    const auto& settings = watch.settings;
+    const auto longest = std::max(settings.longest_retry, settings.retry_interval);
+    const auto doubled = settings.retry_interval * (std::int64_t{1} << std::min(watch.failures, most_doublings));
+    ++watch.failures;
+    const bool is_fresh = watch.evidence && now - *watch.evidence < fresh_evidence;
+    return is_fresh ? longest : std::min(doubled, longest);
+}
+
+void note_answer(collection_watch& watch) {
+    watch.reachable = true;
+    watch.failures = 0;
+}
+
 void note_evidence(collection_watch& watch, instant sent) {
     watch.evidence = std::max(watch.evidence.value_or(sent), sent);
 }
@@ -25,11 +45,11 @@
 }
 
 std::optional<collection_news> receive_list(collection_watch& watch, const catalog_answer& answer, instant sent, instant now) {
-    watch.reachable = answer.status == catalog_status::done;
-    if (!watch.reachable) {
-        start_list_anew(watch, now + watch.settings.retry_interval);
+    if (answer.status != catalog_status::done) {
+        start_list_anew(watch, now + note_failure(watch, now));
         return std::nullopt;
     }
+    note_answer(watch);
     if (watch.after.empty()) {
         watch.listing_sent = sent;
         watch.listing_revision = answer.revision;
@@ -56,16 +76,17 @@
 }
 
 std::optional<collection_news> receive_watch(collection_watch& watch, const catalog_answer& answer, instant sent, instant now) {
-    watch.reachable = answer.status == catalog_status::done || answer.status == catalog_status::history_gone;
     if (answer.status == catalog_status::history_gone) {
+        note_answer(watch);
         watch.listed = false;
         start_list_anew(watch, now);
         return std::nullopt;
     }
-    if (!watch.reachable) {
-        watch.next_watch = now + watch.settings.retry_interval;
+    if (answer.status != catalog_status::done) {
+        watch.next_watch = now + note_failure(watch, now);
         return std::nullopt;
     }
+    note_answer(watch);
     watch.next_watch = now;
     note_evidence(watch, sent);
     // The store's revision proves nothing here: a watch that was deaf may have skipped changes before it.
@@ -91,8 +112,10 @@
     std::vector<catalog_call> calls;
     if (timed_out(watch.listing, watch.settings.answer_timeout, now)) {
         watch.listing.reset();
-        watch.reachable = false;
-        start_list_anew(watch, now);
+        const auto pause = note_failure(watch, now);
+        const bool is_fresh = watch.evidence && now - *watch.evidence < fresh_evidence;
+        // The time without an answer was pause enough, unless there is no hurry.
+        start_list_anew(watch, is_fresh ? now + pause : now);
     }
     if (timed_out(watch.watching, watch.settings.watch_time + watch.settings.answer_timeout, now)) {
         watch.watching.reset();
@@ -108,7 +131,8 @@
         watch.list_wanted = false;
         calls.push_back({watch.listing->id, watch.of, catalog_operation::list, watch.after, 0, millis{0}, ""});
     }
-    if (watch.listed && !watch.watching && now >= watch.next_watch) {
+    const bool watches = watch.settings.watch_time > millis{0};
+    if (watches && watch.listed && !watch.watching && now >= watch.next_watch) {
         watch.watching = open_catalog_call{next_id++, now};
         calls.push_back(
             {watch.watching->id, watch.of, catalog_operation::watch, "", watch.revision, watch.settings.watch_time, ""});
@@ -116,6 +140,13 @@
     return calls;
 }
 
+void end_retry_pause(collection_watch& watch, instant now) {
+    if (watch.failures > 0) {
+        watch.next_list = std::min(watch.next_list, now);
+        watch.next_watch = std::min(watch.next_watch, now);
+    }
+}
+
 bool owns_call(const collection_watch& watch, std::uint64_t id) {
     return (watch.listing && watch.listing->id == id) || (watch.watching && watch.watching->id == id);
 }
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -12,11 +12,12 @@
 
 /// How one collection is followed.
 struct collection_watch_settings {
-    millis watch_time;      ///< The store answers a watch without changes after this time.
+    millis watch_time;      ///< The store answers a watch without changes after this time; 0 for no watch.
     millis read_interval;   ///< Between plain reads of the whole collection; 0 if only watched.
     millis answer_timeout;  ///< Beyond the time that the store may take.
     millis retry_interval;  ///< After a failed call.
     millis evidence_limit;  ///< The collection is read anew when the evidence is older, as a watch may be silent; 0 for never.
+    millis longest_retry;   ///< The retry interval doubles up to here, and is this long while another host's evidence is fresh.
 
     friend bool operator==(const collection_watch_settings&, const collection_watch_settings&) = default;
 };
@@ -51,6 +52,7 @@
     instant next_watch;
     std::optional<instant> evidence;  ///< Every change up to this instant of the own clock is known.
     bool reachable = false;           ///< The last call was answered.
+    int failures = 0;                 ///< Calls in a row that were not answered.
 };
 
 /// News of one collection.
@@ -62,6 +64,9 @@
     friend bool operator==(const collection_news&, const collection_news&) = default;
 };
 
+/// Lets a collection that waits to try again do so now, since the store has answered a call of another one.
+void end_retry_pause(collection_watch& watch, instant now);
+
 /// Calls that are due. Ids are taken from `next_id`.
 std::vector<catalog_call> due_calls(collection_watch& watch, std::uint64_t& next_id, instant now);
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -120,6 +120,11 @@
                          std::string("collection=") + to_string(watch.of) + " status=" + to_string(answer.status),
                          !watch.reachable);
         }
+        if (watch.reachable && !was_reachable) {
+            for (auto& other : state.catalog.watches) {
+                end_retry_pause(other, now);
+            }
+        }
         if (news) {
             apply_news(state, watch.of, *news, now);
         }
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -34,9 +34,9 @@
 
 /// How each collection is followed, in the order of `collection`.
 ///
-/// The coordinator asks the store often and tells the others in its answers to their reports what is newest; these only wait for
-/// changes, and ask themselves once their evidence gets old. So the calls to the store grow by one in seven seconds for each
-/// host.
+/// The coordinator asks the store often and tells the others in its answers to their reports what is newest. These read a
+/// collection when they hear of a newer change, or once their evidence gets old. So a change costs one call of each host, however
+/// many follow each other within a report's interval, and a fleet at rest makes no calls but its coordinator's.
 using watch_paces = std::array<collection_watch_settings, collection_count>;
 
 struct session_host_settings {
@@ -48,24 +48,25 @@
     std::size_t direct_connections = 1;  ///< To an endpoint that another host owns.
     /// An answer without changes proves what was so when it was asked for, so evidence is at most twice a watch's time old.
     watch_paces coordinator_watches{{
-        {millis{700}, millis{0}, millis{700}, millis{300}, millis{1700}},
-        {millis{1500}, millis{0}, millis{700}, millis{300}, millis{0}},
-        {millis{1000}, millis{0}, millis{700}, millis{300}, millis{0}},
-        {millis{28000}, millis{700}, millis{700}, millis{200}, millis{0}},
+        {millis{700}, millis{0}, millis{700}, millis{300}, millis{1700}, millis{300}},
+        {millis{1500}, millis{0}, millis{700}, millis{300}, millis{0}, millis{300}},
+        {millis{1000}, millis{0}, millis{700}, millis{300}, millis{0}, millis{300}},
+        {millis{28000}, millis{700}, millis{700}, millis{200}, millis{0}, millis{200}},
     }};
-    /// The limits leave the coordinator's evidence one report's interval. The longest watch that the store allows is 30 s.
+    /// The limits leave the coordinator's evidence one report's interval. While the store does not answer, the document's calls
+    /// find out when it is back, and the other collections wait for them.
     watch_paces watches{{
-        {millis{28000}, millis{0}, millis{700}, millis{300}, millis{2100}},
-        {millis{28000}, millis{0}, millis{700}, millis{300}, millis{4000}},
-        {millis{28000}, millis{0}, millis{700}, millis{300}, millis{3000}},
-        {millis{28000}, millis{0}, millis{700}, millis{200}, millis{1500}},
+        {millis{0}, millis{0}, millis{700}, millis{300}, millis{2100}, millis{600}},
+        {millis{0}, millis{0}, millis{700}, millis{300}, millis{4000}, millis{2400}},
+        {millis{0}, millis{0}, millis{700}, millis{300}, millis{3000}, millis{2400}},
+        {millis{0}, millis{0}, millis{700}, millis{200}, millis{1500}, millis{2400}},
     }};
     entry_settings entry;
     executor_settings executor;
     coordination_settings coordination;
-    /// Hosts learn of a member list within milliseconds. One that is cut off may act on the old list until its evidence ends, 2.9
-    /// s; what it then has too much, a seventh part of the rate against a sixth, stays within the tenth by which a limit may be
-    /// passed.
+    /// Hosts learn of a member list with their next report, within half a second. One that is cut off may act on the old list
+    /// until its evidence ends; what it then has too much, a seventh part of the rate against a sixth, stays within the tenth by
+    /// which a limit may be passed.
     share_settings shares{millis{1000}, millis{1100}, 6, 16, millis{0}};
 
     friend bool operator==(const session_host_settings&, const session_host_settings&) = default;
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -13,7 +13,7 @@
 collection_watch make_watch() {
     collection_watch watch;
     watch.of = collection::evacuations;
-    watch.settings = {millis{1000}, millis{0}, millis{500}, millis{200}, millis{3000}};
+    watch.settings = {millis{1000}, millis{0}, millis{500}, millis{200}, millis{3000}, millis{200}};
     return watch;
 }
 
@@ -134,3 +134,60 @@
                     format_error);
     CHECK_THROWS_AS(parse_fleet_record("coordinator", R"({"fence":1})"), format_error);
 }
+
+// Guards against one call of every host for each of many changes at once: 1,464 calls at the start of 61 hosts.
+TEST_CASE("a collection without a watch is read when another host knows of more, or its evidence is old", "[collection-watch]") {
+    auto watch = make_watch();
+    watch.settings.watch_time = millis{0};
+    std::uint64_t next = 1;
+    receive_answer(watch, answer_to(due_calls(watch, next, instant{0})[0], 40), instant{5});
+    CHECK(due_calls(watch, next, instant{10}).empty());
+    SECTION("read for newer changes, once for all of them") {
+        receive_evidence(watch, {collection::evacuations, 60, millis{10}}, instant{150}, instant{200});
+        const auto calls = due_calls(watch, next, instant{200});
+        REQUIRE(calls.size() == 1);
+        CHECK(calls[0].operation == catalog_operation::list);
+        receive_answer(watch, answer_to(calls[0], 70, {item("a", 50), item("b", 60)}), instant{205});
+        receive_evidence(watch, {collection::evacuations, 60, millis{10}}, instant{650}, instant{700});
+        CHECK(watch.evidence == instant{640});
+        CHECK(due_calls(watch, next, instant{700}).empty());
+    }
+    SECTION("read once the evidence is old") {
+        CHECK(due_calls(watch, next, instant{2999}).empty());
+        CHECK(due_calls(watch, next, instant{3000}).size() == 1);
+    }
+}
+
+// Guards against four collections that each ask a store that is away three times a second, at every host.
+TEST_CASE("calls to a store that does not answer become rarer, and start anew with the first answer", "[collection-watch]") {
+    auto watch = make_watch();
+    watch.settings.watch_time = millis{0};
+    watch.settings.longest_retry = millis{1600};
+    std::uint64_t next = 1;
+    const auto refuse = [&](instant at) {
+        const auto calls = due_calls(watch, next, at);
+        REQUIRE(calls.size() == 1);
+        catalog_answer refusal;
+        refusal.id = calls[0].id;
+        refusal.status = catalog_status::refused;
+        receive_answer(watch, refusal, at);
+    };
+    instant at{0};
+    for (const std::int64_t pause : {200, 400, 800, 1600, 1600}) {
+        refuse(at);
+        CHECK(due_calls(watch, next, at + millis{pause - 1}).empty());
+        at = at + millis{pause};
+    }
+    SECTION("an answer to another collection ends the pause") {
+        refuse(at);
+        end_retry_pause(watch, at + millis{10});
+        CHECK(due_calls(watch, next, at + millis{10}).size() == 1);
+    }
+    SECTION("an answer ends the count") {
+        receive_answer(watch, answer_to(due_calls(watch, next, at)[0], 40), at);
+        at = at + millis{3000};
+        refuse(at);
+        CHECK(due_calls(watch, next, at + millis{199}).empty());
+        CHECK_FALSE(due_calls(watch, next, at + millis{200}).empty());
+    }
+}
