--- a/src/camphorstack/catalog/catalog.cpp
+++ b/src/camphorstack/catalog/catalog.cpp
@@ -16,6 +16,20 @@
     return "?";
 }
 
+const char* to_string(catalog_operation value) {
+    switch (value) {
+        case catalog_operation::list:
+            return "list";
+        case catalog_operation::watch:
+            return "watch";
+        case catalog_operation::create:
+            return "create";
+        case catalog_operation::replace:
+            return "replace";
+    }
+    return "?";
+}
+
 const char* to_string(catalog_status value) {
     switch (value) {
         case catalog_status::done:
--- a/src/camphorstack/catalog/catalog.hpp
+++ b/src/camphorstack/catalog/catalog.hpp
@@ -59,6 +59,8 @@
 
 enum class catalog_operation : std::uint8_t { list, watch, create, replace };
 
+[[nodiscard]] const char* to_string(catalog_operation value);
+
 struct catalog_call {
     std::uint64_t id = 0;
     collection of = collection::document;
--- a/src/camphorstack/cli/explain.cpp
+++ b/src/camphorstack/cli/explain.cpp
@@ -5,13 +5,16 @@
 #include <iostream>
 
 #include "camphorstack/cli/exit_codes.hpp"
+#include "camphorstack/cli/files.hpp"
 #include "camphorstack/cli/fleet_explanation.hpp"
 #include "camphorstack/cli/fleet_status.hpp"
 #include "camphorstack/cli/host_flag.hpp"
 #include "camphorstack/cli/http_client.hpp"
+#include "camphorstack/cli/request_story.hpp"
 #include "camphorstack/support/errors.hpp"
 
 ABSL_FLAG(std::uint32_t, last, 50, "number of decisions to print, the newest ones");
+ABSL_FLAG(std::string, request, "", "id of a request whose story is told from log files of session hosts");
 
 namespace camphorstack {
 
@@ -39,11 +42,35 @@
     return merge_explanations(explanations, std::move(silent), last);
 }
 
+int explain_request(const std::string& request, const std::vector<std::string>& files) {
+    std::vector<process_log> logs;
+    try {
+        for (const auto& path : files) {
+            logs.push_back({path, read_file(path)});
+        }
+    } catch (const io_error& failure) {
+        std::cerr << failure.what() << '\n';
+        return exit_usage;
+    }
+    const auto story = tell_request(logs, request);
+    if (story.empty()) {
+        std::cerr << "no line names request " << request << "; successes are logged twice a second only\n";
+        return exit_invalid;
+    }
+    std::cout << format_story(story);
+    return exit_ok;
+}
+
 }  // namespace
 
 int run_explain(const std::vector<std::string>& arguments) {
-    if (!arguments.empty()) {
-        std::cerr << "usage: camphorstack explain --host=ip:port [--json] [--last=N]\n";
+    const auto request = absl::GetFlag(FLAGS_request);
+    if (!request.empty() && !arguments.empty()) {
+        return explain_request(request, arguments);
+    }
+    if (!request.empty() || !arguments.empty()) {
+        std::cerr << "usage: camphorstack explain --host=ip:port [--json] [--last=N]\n"
+                     "       camphorstack explain --request=ID LOG...\n";
         return exit_usage;
     }
     const auto address = host_from_flag();
@@ -58,16 +85,20 @@
 }
 
 command explain_command() {
-    return {"explain",
-            "show recent decisions of all hosts and why they were taken",
-            "usage: camphorstack explain --host=ip:port [--json] [--last=N]\n\n"
-            "Prints decisions oldest first with their observations, then the refused requests by reason.\n\n"
-            "examples:\n"
-            "  camphorstack explain --host=127.0.0.1:7201 --last=20\n\n"
-            "exit codes: 0 shown; 1 wrong usage; 4 the given host does not answer\n",
-            {"host", "json", "last"},
-            {},
-            &run_explain};
+    return {
+        "explain",
+        "show recent decisions of all hosts and why they were taken",
+        "usage: camphorstack explain --host=ip:port [--json] [--last=N]\n"
+        "       camphorstack explain --request=ID LOG...\n\n"
+        "Prints decisions oldest first with their observations, then the refused requests by reason.\n"
+        "With --request, prints from log files of session hosts the lines of one request and what its hosts believed then.\n\n"
+        "examples:\n"
+        "  camphorstack explain --host=127.0.0.1:7201 --last=20\n"
+        "  camphorstack explain --request=4b8d8180475ca817 /var/log/camphorstack/*.log\n\n"
+        "exit codes: 0 shown; 1 wrong usage; 2 no log names the request; 4 the given host does not answer\n",
+        {"host", "json", "last", "request"},
+        {},
+        &run_explain};
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -108,6 +108,7 @@
 }
 
 void receive_catalog_answer(session_host_state& state, const catalog_answer& answer, instant now) {
+    ++state.store_calls.answers[answer.status];
     for (auto& watch : state.catalog.watches) {
         if (!owns_call(watch, answer.id)) {
             continue;
@@ -278,6 +279,11 @@
 session_host_actions step(session_host_state& state, const session_host_event& event, instant now) {
     std::visit(session_event_visitor{state, now}, event);
     drain_executor(state, now);
+    for (const auto& action : state.actions) {
+        if (const auto* call = std::get_if<catalog_call>(&action)) {
+            ++state.store_calls.calls[{call->of, call->operation}];
+        }
+    }
     return std::exchange(state.actions, {});
 }
 
@@ -303,6 +309,17 @@
                 << count << '\n';
         }
     }
+    out << "# HELP camphorstack_store_calls_total Calls to the store, by collection and operation.\n"
+        << "# TYPE camphorstack_store_calls_total counter\n";
+    for (const auto& [call, count] : state.store_calls.calls) {
+        out << "camphorstack_store_calls_total{collection=\"" << to_string(call.first) << "\",operation=\""
+            << to_string(call.second) << "\"} " << count << '\n';
+    }
+    out << "# HELP camphorstack_store_answers_total Answers of the store, by status; calls without one count as no_answer.\n"
+        << "# TYPE camphorstack_store_answers_total counter\n";
+    for (const auto& [status, count] : state.store_calls.answers) {
+        out << "camphorstack_store_answers_total{status=\"" << to_string(status) << "\"} " << count << '\n';
+    }
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -53,6 +53,12 @@
     std::map<result_code, std::uint64_t> failed;
 };
 
+/// Calls to the store since the host started, for the metrics.
+struct store_call_counts {
+    std::map<std::pair<collection, catalog_operation>, std::uint64_t> calls;
+    std::map<catalog_status, std::uint64_t> answers;
+};
+
 /// All state of one session host's decisions.
 struct session_host_state {
     session_host_settings settings;
@@ -74,6 +80,7 @@
     std::set<session_id> waiting_sessions;    ///< Whose operation waits for tokens or for a leader.
     coordination_state coordination;
     std::map<workspace_id, operation_counts> counts;
+    store_call_counts store_calls;
     std::set<std::string> logged_unreadable;  ///< Objects whose content was reported as unreadable.
     bool serving = false;
     bool stopping = false;
--- /dev/null
+++ b/tests/cli/request_story.tests.cpp
@@ -0,0 +1,47 @@
+#include "camphorstack/cli/request_story.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorstack;
+
+namespace {
+
+const process_log entry{"a.log",
+                        "t=1000 event=store_lost collection=fleet\n"
+                        "t=9000 event=peer_lost host=b\n"
+                        "t=9500 event=leader_adopted database=db1 endpoint=i-1 phase=changing planned=no round=2\n"
+                        "t=9600 event=leader_adopted database=db2 endpoint=i-9 phase=serving planned=no round=1\n"
+                        "t=9700 event=request_done request=other workspace=w database=route service=db1 endpoint=i-1 host=b\n"
+                        "t=10000 event=request_failed request=4b8d workspace=w database=route service=db1 endpoint=i-1 host=b "
+                        "round=1 tried=0 ms=12 code=in_doubt reason=\"the link broke\"\n"
+                        "t=10400 event=leader_adopted database=db1 endpoint=i-2 phase=serving planned=no round=3\n"
+                        "t=20000 event=peer_regained host=b\n"};
+const process_log bystander{"c.log", "t=10 event=peer_lost host=b\nnot a line of ours\n"};
+
+}  // namespace
+
+TEST_CASE("a request's story holds its own lines and what its host then believed of its database", "[explain][request-story]") {
+    const auto story = tell_request({entry, bystander}, "4b8d");
+    REQUIRE(story.size() == 4);
+    CHECK_THAT(story[0].text, Catch::Contains("event=peer_lost"));
+    CHECK_THAT(story[1].text, Catch::Contains("phase=changing"));
+    CHECK((story[2].is_request && story[2].log == "a.log"));
+    CHECK_THAT(story[3].text, Catch::Contains("endpoint=i-2"));
+    CHECK(format_story(story).starts_with("a.log:\n  t=9000 event=peer_lost host=b\n"));
+    CHECK_THAT(format_story(story), Catch::Contains("> t=10000 event=request_failed"));
+}
+
+TEST_CASE("a request that no log names has no story, and parts of ids do not match", "[explain][request-story]") {
+    CHECK(tell_request({entry, bystander}, "4b8").empty());
+    CHECK(tell_request({entry, bystander}, "8d").empty());
+    CHECK(tell_request({}, "4b8d").empty());
+    CHECK(format_story({}).empty());
+}
+
+TEST_CASE("lines with a collector's text before them are understood", "[explain][request-story]") {
+    const process_log collected{
+        "j",
+        "Dec 04 14:00:01 front-1 camphorstack[7]: t=50 event=serving_stopped document=9 evidence_ms=3901\n"
+        "Dec 04 14:00:01 front-1 camphorstack[7]: t=60 event=request_failed request=77 code=busy\n"};
+    CHECK(tell_request({collected}, "77").size() == 2);
+}
--- a/tests/session_fleet/failures.tests.cpp
+++ b/tests/session_fleet/failures.tests.cpp
@@ -368,3 +368,11 @@
         CHECK(refused * 100 <= asked);
     }
 }
+
+TEST_CASE("the metrics count calls to the store by collection and operation, and its answers", "[session-fleet][metrics]") {
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    const auto text = render_counters(fleet.host("host-0"), fleet.now());
+    CHECK_THAT(text, Catch::Contains("camphorstack_store_calls_total{collection=\"document\",operation=\"list\"} "));
+    CHECK_THAT(text, Catch::Contains("camphorstack_store_answers_total{status=\"done\"} "));
+}
