--- a/src/camphorstack/contracts/shares.cpp
+++ b/src/camphorstack/contracts/shares.cpp
@@ -19,6 +19,7 @@
     };
     const auto own_location = location_of(state.self);
     std::vector<std::tuple<bool, double, host_id>> ranked;
+    ranked.reserve(holders.size());
     for (const auto& id : holders) {
         if (id != state.self) {
             ranked.emplace_back(location_of(id) != own_location, rendezvous_score(state.self, id, 1.0), id);
@@ -26,6 +27,7 @@
     }
     std::ranges::sort(ranked);
     std::vector<host_id> ordered;
+    ordered.reserve(ranked.size());
     for (const auto& [is_far, score, id] : ranked) {
         ordered.push_back(id);
     }
--- a/tests/cli/commands.tests.cpp
+++ b/tests/cli/commands.tests.cpp
@@ -167,7 +167,9 @@
 TEST_CASE("explain tells a request's story from log files, or that no log names it", "[cli][explain]") {
     const temporary_file log{".log", "t=1 event=request_failed request=77 code=busy\n"};
     const auto run = [&log](const std::string& request) {
-        return capture([&] { return run_command_line(commands(), {"camphorstack", "explain", "--request=" + request, log.path}); });
+        return capture([&] {
+            return run_command_line(commands(), {"camphorstack", "explain", "--request=" + request, log.path});
+        });
     };
     const auto told = run("77");
     CHECK(told.code == exit_ok);
