--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -30,8 +30,6 @@
             forward_reply{reply},
             loan_request{1, "ws", 6, 5000, 2500, millis{500}},
             loan_grant{1, "ws", 6, 0, 2500, millis{500}},
-            token_request{3, "ws", 2},
-            token_grant{3, "ws", 1, millis{40}},
             run_request{7,
                         "i-1",
                         "ws",
@@ -63,7 +61,9 @@
             membership_report{host_a, "nonce", host_stage::leaving, {"i-1"}, 5},
             membership_answer{true, 5, {{collection::endpoints, 77, millis{300}}}},
             leader_closed{"db", 4},
-            leader_news{{"db", "i-1", leader_phase::changing, true, 5}, 88}};
+            leader_news{{"db", "i-1", leader_phase::changing, true, 5}, 88},
+            token_request{3, "ws", 2},
+            token_grant{3, "ws", 1, millis{40}}};
 }
 
 }  // namespace
