Add a fault soak of session hosts as processes

Four hosts under signals, a failing store and a silent or leaving primary; a checker that sees only callers and instances.

--- /dev/null
+++ b/tests/soak/session_soak.tests.cpp
@@ -0,0 +1,42 @@
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "soak/soak_platform.hpp"
+
+using namespace camphorstack;
+using namespace camphorstack::soak;
+
+namespace {
+
+std::string variable(const char* name, const std::string& otherwise) {
+    const char* value = std::getenv(name);
+    return value == nullptr ? otherwise : value;
+}
+
+}  // namespace
+
+// Run by tools/soak, which sets the variables. Real processes are signalled, and the store and the primary are made to fail.
+TEST_CASE("session hosts keep their promises under random faults", "[.soak]") {
+    const auto seed = std::stoull(variable("SOAK_SEED", "1"));
+    const millis span{std::stoll(variable("SOAK_SECONDS", "20")) * 1000};
+    /// Rules of the platform: all is served again this long after the last fault.
+    constexpr millis recovery{12000};
+    soak_platform system(seed, variable("SOAK_PROGRAM", "build/bin/camphorstack"), variable("SOAK_FOLDER", "/tmp"),
+                         std::stoi(variable("SOAK_PORT", "28100")));
+    const bool started = system.recovers_within(recovery);
+    REQUIRE(started);
+    system.run_with_faults(span);
+    const bool recovered = system.recovers_within(recovery);
+    std::cout << "soak: seed=" << seed << " faults=" << system.faults().size() << " acknowledged=" << system.acknowledged()
+              << " promotions=" << system.promotions() << " violations=" << system.violations().size()
+              << " recovered=" << (recovered ? "yes" : "no") << std::endl;
+    for (const auto& fault : system.faults()) {
+        UNSCOPED_INFO(fault);
+    }
+    for (const auto& violation : system.violations()) {
+        UNSCOPED_INFO("broken: " << violation);
+    }
+    CHECK(system.violations().empty());
+    CHECK(recovered);
+}
--- /dev/null
+++ b/tests/soak/soak_caller.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "camphorstack/links/line_socket.hpp"
+#include "soak/promise_checker.hpp"
+
+namespace camphorstack::soak {
+
+/// A consumer with one session at a time. It writes rising numbers to an item of its own and reads them back, one statement at a
+/// time. Its connection stays open until the host ends it or does not answer.
+class soak_caller {
+public:
+    soak_caller(fd_watcher& sockets, promise_checker& judge, std::string name, std::string route);
+
+    /// Sends the next statement if none is open, and gives up one that is not answered in time. `address` is where a new session
+    /// goes.
+    void tick(const std::string& address, instant now);
+    /// After a promotion the new primary's log decides what may still be expected.
+    void limit_expectations(int value_in_log);
+    [[nodiscard]] const std::string& item() const { return this->own_item; }
+    [[nodiscard]] std::size_t successes() const { return this->done; }
+
+private:
+    static constexpr millis patience{6000};
+    static constexpr millis pause_after_failure{40};
+    static constexpr millis pause_between{15};
+
+    void connect(const std::string& address, instant now);
+    void send_next(instant now);
+    void on_line(std::string_view line);
+    void finish(result_code code);
+    void lose_session();
+
+    fd_watcher& watcher;
+    promise_checker& checker;
+    std::string own_item;
+    std::string route_name;
+    std::unique_ptr<line_socket> socket;
+    std::unique_ptr<line_socket> ended;  ///< Destroyed outside of its callbacks.
+    bool ready = false;
+    bool lost = false;
+    int next_statement = 0;
+    int highest = 0;  ///< Last value sent.
+    int floor = 0;    ///< Acknowledged or read.
+    std::string open_id;
+    bool open_writes = false;
+    int open_floor = 0;
+    bool promoted_meanwhile = false;  ///< What the open statement tells may have been rolled back since.
+    std::string row;
+    std::optional<result_code> outcome;
+    instant since;
+    instant not_before;
+    std::size_t done = 0;
+};
+
+}  // namespace camphorstack::soak
--- /dev/null
+++ b/tests/soak/soak_host.cpp
@@ -0,0 +1,98 @@
+#include "soak/soak_host.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+
+namespace camphorstack::soak {
+
+namespace {
+
+std::string address_of(int port) {
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string settings_text(const soak_host_plan& plan) {
+    return "id: " + plan.id + "\ndata_centre: " + plan.data_centre + "\npeer_address: " + address_of(plan.first_port) +
+           "\ncallers_address: " + address_of(plan.first_port + 1) + "\nreadiness_address: " + address_of(plan.first_port + 2) +
+           "\nmetrics_address: " + address_of(plan.first_port + 3) + "\nstore_address: " + plan.store_address +
+           "\npromotion_address: " + plan.store_address +
+           "\nfleet_secret: the-secret-of-the-soak\nstop_grace: 3s\ndata_centres:\n  amman-a: amman\n  irbid-a: irbid\n";
+}
+
+}  // namespace
+
+soak_host::soak_host(soak_host_plan wanted) : plan(std::move(wanted)) {
+    std::ofstream(this->plan.folder + "/" + this->plan.id + ".yaml") << settings_text(this->plan);
+    this->start();
+}
+
+soak_host::~soak_host() {
+    if (this->is_running()) {
+        g_subprocess_force_exit(this->process.get());
+        g_subprocess_wait(this->process.get(), nullptr, nullptr);
+    }
+}
+
+void soak_host::start() {
+    const auto launcher = g_adopt(g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE));
+    const auto log = this->plan.folder + "/" + this->plan.id + ".log";
+    g_subprocess_launcher_set_stdout_file_path(launcher.get(), log.c_str());
+    const auto settings = "--settings=" + this->plan.folder + "/" + this->plan.id + ".yaml";
+    this->process = g_adopt(g_subprocess_launcher_spawn(launcher.get(), nullptr, this->plan.program.c_str(), "serve-sessions",
+                                                        settings.c_str(), nullptr));
+    if (!this->process) {
+        throw std::runtime_error("cannot start " + this->plan.program);
+    }
+    this->ended.reset();
+    this->end_wanted = false;
+}
+
+void soak_host::kill() {
+    this->end_wanted = true;
+    g_subprocess_force_exit(this->process.get());
+    this->paused_until.reset();
+}
+
+void soak_host::terminate() {
+    this->end_wanted = true;
+    this->wake();
+    g_subprocess_send_signal(this->process.get(), SIGTERM);
+}
+
+void soak_host::pause(instant until) {
+    this->paused_until = until;
+    g_subprocess_send_signal(this->process.get(), SIGSTOP);
+}
+
+void soak_host::tick(instant now) {
+    if (this->paused_until && now >= *this->paused_until) {
+        this->wake();
+    }
+    if (this->is_running()) {
+        return;
+    }
+    if (!this->ended) {
+        this->ended = now;
+        this->unexpected += this->end_wanted ? 0 : 1;
+    } else if (now - *this->ended >= restart_pause) {
+        this->start();
+    }
+}
+
+std::string soak_host::callers_address() const {
+    return address_of(this->plan.first_port + 1);
+}
+
+bool soak_host::is_running() const {
+    return this->process && g_subprocess_get_identifier(this->process.get()) != nullptr;
+}
+
+void soak_host::wake() {
+    if (this->paused_until) {
+        g_subprocess_send_signal(this->process.get(), SIGCONT);
+        this->paused_until.reset();
+    }
+}
+
+}  // namespace camphorstack::soak
--- /dev/null
+++ b/tests/soak/soak_platform.cpp
@@ -0,0 +1,244 @@
+#include "soak/soak_platform.hpp"
+
+#include <algorithm>
+
+#include "links/run_main_loop.hpp"
+#include "platform/wire_words.hpp"
+
+namespace camphorstack::soak {
+
+namespace {
+
+constexpr int host_count = 4;
+constexpr int caller_count = 8;
+constexpr int ports_of_host = 4;
+/// Of a change of primary at the platform.
+constexpr millis promote_time{300};
+constexpr millis replication_interval{8};
+constexpr unsigned unavailable = 503;
+
+const char* const document_text =
+    R"({"Version":1,"Routes":[)"
+    R"({"Name":"p","Host":"books-p","Kind":"primary","Service":"db","TimeoutMs":800,"TargetLatencyMs":300},)"
+    R"({"Name":"r","Host":"books-r","Kind":"read_your_writes","Service":"db","TimeoutMs":800,"TargetLatencyMs":500,)"
+    R"("MaxStalenessMs":1500}],"Services":[{"Name":"db","MaxConnections":16}],)"
+    R"("Tenants":[{"Name":"soak","ApiKeys":["soak-key"],"RatePerS":5000,"Burst":5000}]})";
+
+/// Text of a JSON string field; the store stand-in keeps the body as it came.
+std::string string_field(const std::string& json, const std::string& name) {
+    const auto key = "\"" + name + "\":\"";
+    const auto begin = json.find(key);
+    return begin == std::string::npos ? ""
+                                      : json.substr(begin + key.size(), json.find('"', begin + key.size()) - begin - key.size());
+}
+
+}  // namespace
+
+soak_platform::soak_platform(std::uint64_t seed, const std::string& program, const std::string& folder, int first_port)
+    : random(seed) {
+    this->store.put("config", "main", document_text);
+    this->publish_instances();
+    for (int i = 0; i < host_count; ++i) {
+        this->hosts.push_back(
+            std::make_unique<soak_host>(soak_host_plan{"front-" + std::to_string(i), i % 2 == 0 ? "amman-a" : "irbid-a", program,
+                                                       folder, this->store.address(), first_port + i * ports_of_host}));
+    }
+    for (int i = 0; i < caller_count; ++i) {
+        this->callers.push_back(std::make_unique<soak_caller>(this->sockets, this->checker, "i" + std::to_string(i),
+                                                              i % 4 == 3 ? "books-r" : "books-p"));
+    }
+}
+
+void soak_platform::run_with_faults(millis span) {
+    const auto end = this->time.now() + span;
+    this->next_fault = this->time.now();
+    tests::run_until(
+        [this, end] {
+            this->tick();
+            const auto now = this->time.now();
+            this->end_faults(now, false);
+            if (now >= this->next_fault) {
+                this->cause_fault(now);
+                this->next_fault = now + this->span_of(300, 2500);
+            }
+            return now >= end;
+        },
+        span * 2);
+}
+
+bool soak_platform::recovers_within(millis limit) {
+    this->end_faults(this->time.now(), true);
+    std::vector<std::size_t> before;
+    for (const auto& caller : this->callers) {
+        before.push_back(caller->successes());
+    }
+    // Two, so that one that was answered already when the faults ended does not count.
+    constexpr std::size_t wanted = 2;
+    return tests::run_until(
+        [&] {
+            this->tick();
+            for (std::size_t i = 0; i < before.size(); ++i) {
+                if (this->callers[i]->successes() < before[i] + wanted) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        limit);
+}
+
+std::vector<std::string> soak_platform::violations() const {
+    auto all = this->checker.violations();
+    all.insert(all.end(), this->fence_violations.begin(), this->fence_violations.end());
+    for (const auto& host : this->hosts) {
+        if (host->unexpected_ends() > 0) {
+            all.push_back(host->id() + ": ended by itself " + std::to_string(host->unexpected_ends()) + " times");
+        }
+    }
+    return all;
+}
+
+void soak_platform::tick() {
+    const auto now = this->time.now();
+    this->checker.observe();
+    this->take_promotions(now);
+    if (now >= this->next_replication) {
+        this->next_replication = now + replication_interval;
+        this->model.replicate({});
+    }
+    for (const auto& host : this->hosts) {
+        host->tick(now);
+    }
+    for (const auto& caller : this->callers) {
+        caller->tick(this->any_host().callers_address(), now);
+    }
+}
+
+void soak_platform::cause_fault(instant now) {
+    const auto kind = static_cast<fault>(this->random() % 8);
+    std::string what;
+    switch (kind) {
+        case fault::kill_host: {
+            auto& host = this->any_host();
+            host.kill();
+            what = "kill " + host.id();
+            break;
+        }
+        case fault::stop_host: {
+            auto& host = this->any_host();
+            host.terminate();
+            what = "stop " + host.id();
+            break;
+        }
+        case fault::pause_host: {
+            auto& host = this->any_host();
+            const auto span = this->span_of(100, 4000);
+            host.pause(now + span);
+            what = "pause " + host.id() + " ms=" + std::to_string(span.count);
+            break;
+        }
+        case fault::refuse_store:
+        case fault::silence_store: {
+            const auto span = this->span_of(300, 5000);
+            this->store.refuse_with = kind == fault::refuse_store ? unavailable : 0;
+            this->store.silent = kind == fault::silence_store;
+            this->store_faulty_until = now + span;
+            what = (kind == fault::refuse_store ? "refuse calls to the store ms=" : "silence the store ms=") +
+                   std::to_string(span.count);
+            break;
+        }
+        case fault::silence_primary: {
+            const auto span = this->span_of(200, 3000);
+            const auto id = this->model.primary().entry.id;
+            this->instance(id).lose_answers = true;
+            this->primary_silent_until = now + span;
+            what = "silence " + id + " ms=" + std::to_string(span.count);
+            break;
+        }
+        case fault::drain_primary: {
+            this->draining = this->model.primary().entry.id;
+            this->draining_until = now + this->span_of(2000, 4000);
+            this->publish_instances();
+            what = "drain " + this->draining;
+            break;
+        }
+        case fault::kill_all:
+            for (const auto& host : this->hosts) {
+                host->kill();
+            }
+            what = "kill all";
+            break;
+    }
+    this->told_faults.push_back("t=" + std::to_string(now.since_start) + " " + what);
+}
+
+void soak_platform::end_faults(instant now, bool all) {
+    if (all || now >= this->store_faulty_until) {
+        this->store.refuse_with = 0;
+        this->store.silent = false;
+    }
+    if (all || now >= this->primary_silent_until) {
+        this->first.lose_answers = false;
+        this->second.lose_answers = false;
+    }
+    if (!this->draining.empty() && (all || now >= this->draining_until)) {
+        this->draining.clear();
+        this->publish_instances();
+    }
+}
+
+void soak_platform::take_promotions(instant now) {
+    for (; this->seen_promotions < this->store.promotions.size(); ++this->seen_promotions) {
+        const std::string_view call = this->store.promotions[this->seen_promotions];
+        auto rest = call;
+        const std::string holder(platform::take_word(rest));
+        const std::uint64_t fence = std::stoull(std::string(platform::take_word(rest)));
+        if (fence < this->newest_fence || (fence == this->newest_fence && holder != this->newest_holder)) {
+            this->fence_violations.push_back(holder + ": promoted with fence " + std::to_string(fence) + " after " +
+                                             this->newest_holder + " with " + std::to_string(this->newest_fence));
+        }
+        this->newest_fence = std::max(this->newest_fence, fence);
+        this->newest_holder = holder;
+        this->planned.push_back({string_field(std::string(rest), "Id"), now + promote_time});
+    }
+    while (!this->planned.empty() && now >= this->planned.front().at) {
+        this->promote(this->planned.front().target);
+        this->planned.erase(this->planned.begin());
+    }
+}
+
+void soak_platform::promote(const endpoint_id& id) {
+    if (!this->model.instances.contains(id) || this->model.primary().entry.id == id) {
+        return;
+    }
+    this->checker.observe();
+    this->model.promote(id);
+    std::map<std::string, int> kept;
+    for (const auto& entry : this->model.instances.at(id).log) {
+        for (const auto& [item, data] : entry.writes) {
+            kept[item] = std::stoi(data);
+        }
+    }
+    for (const auto& caller : this->callers) {
+        caller->limit_expectations(kept[caller->item()]);
+    }
+    this->publish_instances();
+}
+
+void soak_platform::publish_instances() {
+    for (auto* instance : {&this->first, &this->second}) {
+        const endpoint_id id = instance == &this->first ? "db-0" : "db-1";
+        const auto& known = this->model.instances.at(id);
+        const bool leads = this->model.primary().entry.id == id;
+        this->store.put("servers", id,
+                        R"({"Service":"db","Address":")" + instance->address() + R"(","Zone":")" + known.entry.location +
+                            R"(","State":")" + (this->draining == id ? "draining" : "ready") + R"(","Slots":2,"DatabaseRole":")" +
+                            (leads ? "primary" : "replica") + R"("})");
+    }
+}
+
+platform_tests::wire_instance& soak_platform::instance(const endpoint_id& id) {
+    return id == "db-0" ? this->first : this->second;
+}
+
+}  // namespace camphorstack::soak
