--- a/tests/session_fleet/failures.tests.cpp
+++ b/tests/session_fleet/failures.tests.cpp
@@ -376,3 +376,33 @@
     CHECK_THAT(text, Catch::Contains("camphorstack_store_calls_total{collection=\"document\",operation=\"list\"} "));
     CHECK_THAT(text, Catch::Contains("camphorstack_store_answers_total{status=\"done\"} "));
 }
+
+// Guards against followers, which do not watch the store, that hear of a new version too late once their coordinator is gone.
+TEST_CASE("a new version is in force at all hosts within three seconds, whatever becomes of the coordinator",
+          "[session-fleet][evidence][document]") {
+    const std::string fate = GENERATE(std::string("alive"), std::string("dies"), std::string("cut off"), std::string("deaf"));
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    const auto coordinator = fleet.host("host-0").catalog.coordinator->record.host.id;
+    auto content = fleet.document_now();
+    content.version = 9;
+    fleet.publish(content);
+    if (fate == "dies") {
+        fleet.kill_host(coordinator);
+    } else if (fate == "cut off") {
+        fleet.isolate(coordinator);
+    } else if (fate == "deaf") {
+        // Its watch is never answered.
+        watch_of(fleet.host(coordinator), collection::document).settings.watch_time = millis{30000};
+    }
+    CAPTURE(fate, coordinator);
+    fleet.run_for(millis{3000});
+    for (int i = 0; i < 7; ++i) {
+        const auto id = "host-" + std::to_string(i);
+        const bool counts = fate == "alive" || fate == "deaf" || id != coordinator;
+        if (counts) {
+            INFO(id);
+            CHECK(fleet.host(id).catalog.content->version == 9);
+        }
+    }
+}
