--- a/tests/soak/soak_host.cpp
+++ b/tests/soak/soak_host.cpp
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "camphorstack/support/socket_address.hpp"
+
 namespace camphorstack::soak {
 
 namespace {
@@ -20,9 +22,22 @@
            "\nfleet_secret: the-secret-of-the-soak\nstop_grace: 3s\ndata_centres:\n  amman-a: amman\n  irbid-a: irbid\n";
 }
 
+/// Two soaks on the same ports would send their callers to each other's hosts.
+void require_free(int port) {
+    const auto probe = g_adopt(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr));
+    const auto local = parse_socket_address(address_of(port));
+    if (g_socket_bind(probe.get(), local.get(), TRUE, nullptr) == FALSE) {
+        throw std::runtime_error("port " + std::to_string(port) + " is in use; set SOAK_PORT");
+    }
+}
+
 }  // namespace
 
 soak_host::soak_host(soak_host_plan wanted) : plan(std::move(wanted)) {
+    constexpr int port_count = 4;
+    for (int i = 0; i < port_count; ++i) {
+        require_free(this->plan.first_port + i);
+    }
     std::ofstream(this->plan.folder + "/" + this->plan.id + ".yaml") << settings_text(this->plan);
     this->start();
 }
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -35,13 +35,14 @@
 }  // namespace
 
 soak_platform::soak_platform(std::uint64_t seed, const std::string& program, const std::string& folder, int first_port)
-    : random(seed) {
+    : random(seed), caller_choices(seed) {
     this->store.put("config", "main", document_text);
     this->publish_instances();
     for (int i = 0; i < host_count; ++i) {
-        this->hosts.push_back(
-            std::make_unique<soak_host>(soak_host_plan{"front-" + std::to_string(i), i % 2 == 0 ? "amman-a" : "irbid-a", program,
-                                                       folder, this->store.address(), first_port + i * ports_of_host}));
+        this->store_proxies.push_back(std::make_unique<soak_proxy>(this->sockets, this->store.address()));
+        this->hosts.push_back(std::make_unique<soak_host>(
+            soak_host_plan{"front-" + std::to_string(i), i % 2 == 0 ? "amman-a" : "irbid-a", program, folder,
+                           this->store_proxies.back()->address(), first_port + i * ports_of_host}));
     }
     for (int i = 0; i < caller_count; ++i) {
         this->callers.push_back(std::make_unique<soak_caller>(this->sockets, this->checker, "i" + std::to_string(i),
@@ -110,28 +111,28 @@
         host->tick(now);
     }
     for (const auto& caller : this->callers) {
-        caller->tick(this->any_host().callers_address(), now);
+        caller->tick(this->any_host(this->caller_choices).callers_address(), now);
     }
 }
 
 void soak_platform::cause_fault(instant now) {
-    const auto kind = static_cast<fault>(this->random() % 8);
+    const auto kind = static_cast<fault>(this->random() % 12);
     std::string what;
     switch (kind) {
         case fault::kill_host: {
-            auto& host = this->any_host();
+            auto& host = this->any_host(this->random);
             host.kill();
             what = "kill " + host.id();
             break;
         }
         case fault::stop_host: {
-            auto& host = this->any_host();
+            auto& host = this->any_host(this->random);
             host.terminate();
             what = "stop " + host.id();
             break;
         }
         case fault::pause_host: {
-            auto& host = this->any_host();
+            auto& host = this->any_host(this->random);
             const auto span = this->span_of(100, 4000);
             host.pause(now + span);
             what = "pause " + host.id() + " ms=" + std::to_string(span.count);
@@ -168,6 +169,23 @@
             }
             what = "kill all";
             break;
+        case fault::hold_instance:
+        case fault::hold_store: {
+            const bool of_store = kind == fault::hold_store;
+            const auto span = this->span_of(50, 4000);
+            what = (of_store ? "store link of a host: " : "link to an instance: ") +
+                   this->hold(of_store ? this->any_store_proxy() : this->any_instance_proxy(), now + span) +
+                   " ms=" + std::to_string(span.count);
+            break;
+        }
+        case fault::reset_instance:
+            this->any_instance_proxy().reset_all();
+            what = "reset connections to an instance";
+            break;
+        case fault::reset_store:
+            this->any_store_proxy().reset_all();
+            what = "reset a host's connections to the store";
+            break;
     }
     this->told_faults.push_back("t=" + std::to_string(now.since_start) + " " + what);
 }
@@ -181,12 +199,26 @@
         this->first.lose_answers = false;
         this->second.lose_answers = false;
     }
+    std::erase_if(this->held, [&](const auto& item) {
+        const bool over = all || now >= item.second;
+        if (over) {
+            item.first->release();
+        }
+        return over;
+    });
     if (!this->draining.empty() && (all || now >= this->draining_until)) {
         this->draining.clear();
         this->publish_instances();
     }
 }
 
+std::string soak_platform::hold(soak_proxy& proxy, instant until) {
+    const auto which = this->random() % 3;
+    proxy.hold(which != 1, which != 0);
+    this->held[&proxy] = until;
+    return which == 0 ? "requests held" : which == 1 ? "answers held" : "all held";
+}
+
 void soak_platform::take_promotions(instant now) {
     for (; this->seen_promotions < this->store.promotions.size(); ++this->seen_promotions) {
         const std::string_view call = this->store.promotions[this->seen_promotions];
@@ -231,8 +263,9 @@
         const auto& known = this->model.instances.at(id);
         const bool leads = this->model.primary().entry.id == id;
         this->store.put("servers", id,
-                        R"({"Service":"db","Address":")" + instance->address() + R"(","Zone":")" + known.entry.location +
-                            R"(","State":")" + (this->draining == id ? "draining" : "ready") + R"(","Slots":2,"DatabaseRole":")" +
+                        R"({"Service":"db","Address":")" + (id == "db-0" ? this->first_proxy : this->second_proxy).address() +
+                            R"(","Zone":")" + known.entry.location + R"(","State":")" +
+                            (this->draining == id ? "draining" : "ready") + R"(","Slots":2,"DatabaseRole":")" +
                             (leads ? "primary" : "replica") + R"("})");
     }
 }
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "soak/promise_checker.hpp"
 #include "soak/soak_caller.hpp"
 #include "soak/soak_host.hpp"
+#include "soak/soak_proxy.hpp"
 
 namespace camphorstack::soak {
 
@@ -33,7 +35,20 @@
         endpoint_id target;
         instant at;
     };
-    enum class fault { kill_host, stop_host, pause_host, refuse_store, silence_store, silence_primary, drain_primary, kill_all };
+    enum class fault {
+        kill_host,
+        stop_host,
+        pause_host,
+        refuse_store,
+        silence_store,
+        silence_primary,
+        drain_primary,
+        kill_all,
+        hold_instance,
+        reset_instance,
+        hold_store,
+        reset_store
+    };
 
     void tick();
     void cause_fault(instant now);
@@ -45,15 +60,23 @@
     millis span_of(std::int64_t least, std::int64_t most) {
         return millis{least + static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(most - least + 1))};
     }
-    soak_host& any_host() { return *this->hosts[this->random() % this->hosts.size()]; }
+    /// Holds requests, answers or both for a while. Tells which.
+    std::string hold(soak_proxy& proxy, instant until);
+    soak_proxy& any_instance_proxy() { return this->random() % 2 == 0 ? this->first_proxy : this->second_proxy; }
+    soak_proxy& any_store_proxy() { return *this->store_proxies[this->random() % this->store_proxies.size()]; }
+    soak_host& any_host(random_source& source) { return *this->hosts[source() % this->hosts.size()]; }
 
-    random_source random;
+    random_source random;          ///< Of the faults, so that a seed's series does not depend on how often callers connect.
+    random_source caller_choices;  ///< Of the hosts that callers turn to.
     monotonic_clock time;
     fd_watcher sockets;
     platform_tests::object_store store;
     session_tests::database_model model{"db", {"amman-a", "irbid-a"}};
     platform_tests::wire_instance first{this->sockets, this->model, "db-0"};
     platform_tests::wire_instance second{this->sockets, this->model, "db-1"};
+    soak_proxy first_proxy{this->sockets, this->first.address()};
+    soak_proxy second_proxy{this->sockets, this->second.address()};
+    std::vector<std::unique_ptr<soak_proxy>> store_proxies;  ///< One for each host.
     promise_checker checker{this->model};
     std::vector<std::unique_ptr<soak_host>> hosts;
     std::vector<std::unique_ptr<soak_caller>> callers;
@@ -66,6 +89,7 @@
     endpoint_id draining;
     instant store_faulty_until;
     instant primary_silent_until;
+    std::map<soak_proxy*, instant> held;  ///< And until when.
     instant draining_until;
     instant next_fault;
     instant next_replication;
