Take a promoted endpoint for the leader only in a new term

Connections had been reset at 30.8 s, so a primary that was well was replaced at 32.9 s; the new one crashed at 33.0 s, before the old one had been told. The old one still led by its own view and was chosen again. As it said so already, it was published at once, before its promotion took effect.

Candidates are ranked by the term of what they have received, so a former primary no longer goes before a replica of the later term. If no candidate answers, the old leader goes on without a promotion only if none was sent.

--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -88,6 +88,9 @@
     std::map<endpoint_id, candidate_question> questions;  ///< In flight.
     instant next_question;
     endpoint_id target;
+    term_number term_before =
+        0;  ///< Of the target's own lead, as it told before the promotion; 0 if it told that it does not lead.
+    bool promotion_sent = false;        ///< Some endpoint may have been promoted since the record was written, or before.
     std::set<endpoint_id> refused;      ///< Candidates that the platform turned down.
     std::optional<std::uint64_t> call;  ///< Write or promotion in flight.
     instant not_before;
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -151,7 +151,8 @@
     return found == change.statuses.end() ? nullptr : &found->second.status;
 }
 
-/// The candidate that has received most; one that leads a later term already goes first.
+/// The candidate that has received most; one that leads a later term already goes first. A former primary that nobody told still
+/// leads by its own view, but in an earlier term than what others have received.
 std::optional<endpoint_id> best_candidate(const leader_change& change, const std::vector<endpoint_id>& candidates) {
     std::optional<endpoint_id> best;
     for (const auto& id : candidates) {
@@ -161,7 +162,7 @@
         }
         const auto rank = [&](const endpoint_id& candidate) {
             const auto* told = status_of(change, candidate);
-            return std::pair(told->is_primary ? told->term : 0, told->received);
+            return std::pair(std::max(told->is_primary ? told->term : 0, told->received.term), told->received);
         };
         if (!best || rank(id) > rank(*best)) {
             best = id;
@@ -228,7 +229,14 @@
     change.refused.clear();
     const auto* status = status_of(change, old);
     if (status != nullptr && status->is_primary && old_listed) {
-        publish(state, change, old, now);
+        if (change.promotion_sent) {
+            // Another endpoint may lead since, without the old leader knowing. The platform decides which one does.
+            change.target = old;
+            enter(state, change, change_step::confirming, now);
+            watch_of(state, collection::fleet).next_list = now;
+        } else {
+            publish(state, change, old, now);
+        }
     } else {
         change.statuses.clear();
         change.step_began = now;
@@ -252,6 +260,9 @@
     const promotion_call call{state.next_call++, change.record.database, change.target, state.settings.self.id,
                               state.catalog.coordinator->record.fence};
     change.call = call.id;
+    change.promotion_sent = true;
+    const auto* before = status_of(change, change.target);
+    change.term_before = before != nullptr && before->is_primary ? before->term : 0;
     state.actions.emplace_back(call);
     enter(state, change, change_step::promoting, now);
 }
@@ -259,9 +270,13 @@
 void await_leader(session_host_state& state, leader_change& change, instant now) {
     ask_all(state, change, {change.target}, now);
     const auto* status = status_of(change, change.target);
-    if (status != nullptr && status->is_primary) {
+    const bool is_primary = status != nullptr && status->is_primary;
+    const bool is_late = now - change.step_began >= state.coordination.settings.promote_time;
+    // A former primary still leads by its own view until its promotion takes effect in a new term. If no new term begins, the
+    // platform held it for the present primary.
+    if (is_primary && (status->term > change.term_before || is_late)) {
         publish(state, change, change.target, now);
-    } else if (now - change.step_began >= state.coordination.settings.promote_time) {
+    } else if (is_late) {
         change.statuses.clear();
         enter(state, change, change_step::choosing, now);
     }
@@ -336,6 +351,8 @@
     change.record.planned = reason.planned;
     ++change.record.round;
     change.reason = reason.text;
+    // A predecessor that left the change unfinished may have sent a promotion.
+    change.promotion_sent = record.phase == leader_phase::changing;
     enter(state, change, change_step::recording, now);
     auto& stored = state.coordination.changes[record.database] = std::move(change);
     write_change(state, stored, now);
--- a/tests/session_fleet/failures.tests.cpp
+++ b/tests/session_fleet/failures.tests.cpp
@@ -406,3 +406,35 @@
         }
     }
 }
+
+// Guards against a former primary that was never told: it still leads by its own view, so it must not be taken for promoted
+// before its new term begins. A write was acknowledged there, after another endpoint had taken over (61 hosts, ONE in a hunt).
+TEST_CASE("a former primary that is promoted again acknowledges nothing in its old term", "[session-fleet][former-primary]") {
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    REQUIRE(time_to_write(fleet, "host-6", "before", millis{1000}) < millis{200});
+    fleet.lagging = {"db0-0"};
+    for (int i = 0; i < 7; ++i) {
+        fleet.cut("host-" + std::to_string(i), "db0-0");
+    }
+    REQUIRE(time_to_write(fleet, "host-6", "second", millis{9000}) < millis{9000});
+    const auto second = leader_of(fleet, "host-4", "db0").endpoint;
+    REQUIRE(second != "db0-0");
+    fleet.kill_instance("db0-1");
+    fleet.kill_instance("db0-2");
+    fleet.heal();
+    const auto session = fleet.connect("host-4", session_fleet::route_name(0, consistency::primary), "key-0");
+    fleet.run_for(millis{20});
+    std::optional<instant> served;
+    for (int i = 0; i < 200 && !served; ++i) {
+        const auto answer = fleet.ask(session, write_statement("w" + std::to_string(i), "item", "x"));
+        if (answer.code == result_code::none) {
+            CAPTURE(second, i);
+            REQUIRE(answer.position);
+            CHECK(answer.position->term > 2);
+            served = fleet.now();
+        }
+        fleet.run_for(millis{10});
+    }
+    CHECK(served);
+}
