Share the test for fresh evidence; drop an unread set of the request story

The age of a collection's evidence was compared in two places, the set of hosts in a request's story was filled and never read, and one comparison stood twice. Behaviour is unchanged.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -17,6 +17,10 @@
 constexpr millis fresh_evidence{1500};
 constexpr int most_doublings = 4;
 
+bool has_fresh_evidence(const collection_watch& watch, instant now) {
+    return watch.evidence && now - *watch.evidence < fresh_evidence;
+}
+
 /// Counts a call without an answer. Returns the pause before the next one.
 millis note_failure(collection_watch& watch, instant now) {
     watch.reachable = false;
@@ -24,8 +28,7 @@
     const auto longest = std::max(settings.longest_retry, settings.retry_interval);
     const auto doubled = settings.retry_interval * (std::int64_t{1} << std::min(watch.failures, most_doublings));
     ++watch.failures;
-    const bool is_fresh = watch.evidence && now - *watch.evidence < fresh_evidence;
-    return is_fresh ? longest : std::min(doubled, longest);
+    return has_fresh_evidence(watch, now) ? longest : std::min(doubled, longest);
 }
 
 void note_answer(collection_watch& watch) {
@@ -113,9 +116,8 @@
     if (timed_out(watch.listing, watch.settings.answer_timeout, now)) {
         watch.listing.reset();
         const auto pause = note_failure(watch, now);
-        const bool is_fresh = watch.evidence && now - *watch.evidence < fresh_evidence;
         // The time without an answer was pause enough, unless there is no hurry.
-        start_list_anew(watch, is_fresh ? now + pause : now);
+        start_list_anew(watch, has_fresh_evidence(watch, now) ? now + pause : now);
     }
     if (timed_out(watch.watching, watch.settings.watch_time + watch.settings.answer_timeout, now)) {
         watch.watching.reset();
--- a/src/camphorstack/cli/request_story.cpp
+++ b/src/camphorstack/cli/request_story.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <map>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -65,12 +64,10 @@
 struct story_subject {
     std::set<std::string> services;
     std::set<std::string> endpoints;
-    std::set<std::string> hosts;
 
     void add(const std::string& text) {
         this->services.insert(field(text, "service"));
         this->endpoints.insert(field(text, "endpoint"));
-        this->hosts.insert(field(text, "host"));
     }
     /// True for a line about the request's database or endpoint.
     [[nodiscard]] bool concerns(const log_line& line) const {
@@ -89,16 +86,16 @@
     std::vector<std::vector<log_line>> parsed;
     story_subject subject;
     parsed.reserve(logs.size());
+    const auto names_request = [&request](const log_line& line) { return field(line.text, "request") == request; };
     for (const auto& log : logs) {
         parsed.push_back(read_lines(log.text));
         for (const auto& line : parsed.back()) {
-            if (field(line.text, "request") == request) {
+            if (names_request(line)) {
                 subject.add(line.text);
             }
         }
     }
     for (std::size_t i = 0; i < logs.size(); ++i) {
-        const auto names_request = [&request](const log_line& line) { return field(line.text, "request") == request; };
         const auto first = std::ranges::find_if(parsed[i], names_request);
         if (first == parsed[i].end()) {
             continue;
