--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -134,6 +134,7 @@
 
 def run_case(main, record):
     """Runs `main`, which returns True if the rule held. Returns the exit code: 0 held, 1 broken, 2 could not run."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # So that the hosts are ended then too.
     try:
         return 0 if asyncio.run(asyncio.wait_for(main(), 110)) else 1
     except Exception as error:  # The case could not run, whatever the reason.
