Answer every statement that a host has read before it ends

Cause: the end of the grace period ended the process, whatever was in flight, while statements of open transactions were accepted until then. Ruled out: a lost answer between host and caller (the wait for the last bytes works, it covers only sessions that are being closed).

Change: statements of transactions are accepted in the first half of the grace period, later only if their time limit ends before the process does; the rest is refused with a promise. Shortly before the end, each statement in flight is answered with what is known of it. The same holds for statements that the host runs for other hosts: their callers got INDOUBT for commits in flight at its end. Margins shrink with short grace periods.

--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -4,17 +4,15 @@
 #include <utility>
 
 #include "camphorstack/session_host/routing.hpp"
+#include "camphorstack/session_host/run_time_limits.hpp"
 #include "camphorstack/session_host/session_answers.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
+#include "camphorstack/session_host/shutdown.hpp"
 
 namespace camphorstack {
 
 namespace {
 
-/// An operation may wait in an endpoint's queue for the route's target latency divided by this.
-constexpr std::int64_t queue_timeout_divisor = 2;
-/// Lower limit of the time for which an operation may wait in an endpoint's queue.
-constexpr millis min_queue_timeout{60};
 /// Limit on the runs of one operation; without it, runs that are refused at once would follow each other without end. Allows
 /// three endpoints and a second attempt at one of them through another host.
 constexpr int max_attempts = 4;
@@ -31,10 +29,6 @@
     return requested.kind == statement_kind::write ? run_kind::write : run_kind::read;
 }
 
-millis queue_timeout_of(const session_policy& policy) {
-    return std::max(min_queue_timeout, policy.target_latency / queue_timeout_divisor);
-}
-
 /// Returns true if the session has no transaction, or one that has not begun at an endpoint yet.
 bool may_choose_endpoint(const caller_session& session) {
     return !session.transaction || !session.transaction->target;
@@ -281,6 +275,10 @@
         fail_operation(state, session, result_code::busy, "this host cannot prove that its document is recent", now);
         return;
     }
+    if (!can_answer_before_end(state, run_time_limit(state.settings.entry, session.operation->access.policy), now)) {
+        fail_operation(state, session, result_code::busy, "this host is shutting down", now);
+        return;
+    }
     if (take_tokens(state, *session.operation, now)) {
         admit(state, session, now);
         return;
@@ -346,7 +344,7 @@
                           (result.outcome == run_outcome::lost && operation.kind == run_kind::read && !session.transaction);
     const auto spent = now - operation.arrived;
     const bool waits_for_leader = operation.target.round != 0 && result.code == result_code::read_only;
-    return !begun && harmless && (operation.attempts < max_attempts || waits_for_leader) &&
+    return !state.stopped && !begun && harmless && (operation.attempts < max_attempts || waits_for_leader) &&
            spent < std::max(queue_timeout_of(policy), state.settings.entry.leader_wait);
 }
 
@@ -463,6 +461,35 @@
     }
 }
 
+/// Returns the reason for which the session's transaction must not go on; null if it may.
+const char* reason_to_abort(const session_host_state& state, const caller_session& session, instant now) {
+    const auto& policy = session.transaction->access.policy;
+    if (policy.needs_key && !state.catalog.workspace_by_key.contains(session.key_sha256)) {
+        return "the key was withdrawn";
+    }
+    if (!may_serve(state, now)) {
+        return "this host cannot prove that its document is recent";
+    }
+    if (!can_answer_before_end(state, run_time_limit(state.settings.entry, policy), now)) {
+        return "this host is shutting down";
+    }
+    return nullptr;
+}
+
+/// Rolls the session's transaction back instead of running its next statement.
+void abort_transaction(session_host_state& state, caller_session& session, const statement& requested, const char* reason,
+                       instant now) {
+    log_decision(state, "transaction_refused",
+                 "request=" + requested.id + " workspace=" + session.transaction->access.workspace +
+                     " document=" + std::to_string(state.catalog.content->version) + " reason=\"" + reason + "\"",
+                 true);
+    if (requested.kind == statement_kind::commit) {
+        // A commit ends the transaction whatever its outcome.
+        leave_transaction(state, session, now);
+    }
+    fail_statement(state, session, result_code::aborted, reason, now);
+}
+
 }  // namespace
 
 void start_operation(session_host_state& state, caller_session& session, const statement& requested, instant now) {
@@ -470,19 +497,13 @@
         begin_operation(state, session, requested, now);
         return;
     }
-    const auto& granted = session.transaction->access;
-    const bool has_key = !granted.policy.needs_key || state.catalog.workspace_by_key.contains(session.key_sha256);
-    if (!has_key || !may_serve(state, now)) {
-        log_decision(state, "transaction_refused",
-                     "request=" + requested.id + " workspace=" + granted.workspace + " key_known=" + (has_key ? "yes" : "no") +
-                         " document=" + std::to_string(state.catalog.content->version),
-                     true);
-        fail_statement(state, session, result_code::aborted, "the key was withdrawn, or the document may be out of date", now);
+    if (const char* reason = reason_to_abort(state, session, now); reason != nullptr) {
+        abort_transaction(state, session, requested, reason, now);
         return;
     }
     open_operation operation;
     operation.requested = requested;
-    operation.access = granted;
+    operation.access = session.transaction->access;
     operation.kind = kind_of(session, requested);
     operation.arrived = now;
     session.operation = std::move(operation);
@@ -533,6 +554,15 @@
     fail_run(state, run, run_outcome::not_run, "the endpoint's owner cannot be reached", now);
 }
 
+void fail_session_statements(session_host_state& state, caller_session& session, const char* reason, instant now) {
+    if (session.operation && session.operation->stage == operation_stage::running) {
+        fail_run(state, session.operation->run, run_outcome::lost, reason, now);
+    } else if (session.operation) {
+        fail_operation(state, session, result_code::busy, reason, now);
+    }
+    advance_session(state, session, now);
+}
+
 void retry_waiting(session_host_state& state, instant now) {
     const auto waiting = state.waiting_sessions;
     for (const auto id : waiting) {
@@ -568,8 +598,7 @@
             continue;
         }
         const auto& operation = *session->second.operation;
-        const auto limit = queue_timeout_of(operation.access.policy) + operation.access.policy.statement_timeout +
-                           state.settings.entry.reply_margin;
+        const auto limit = run_time_limit(state.settings.entry, operation.access.policy);
         if (operation.stage == operation_stage::running && now - operation.sent >= limit) {
             late.push_back(run);
         }
--- a/src/camphorstack/session_host/session_entry.cpp
+++ b/src/camphorstack/session_host/session_entry.cpp
@@ -6,6 +6,7 @@
 
 #include "camphorstack/session_host/operations.hpp"
 #include "camphorstack/session_host/session_answers.hpp"
+#include "camphorstack/session_host/shutdown.hpp"
 
 namespace camphorstack {
 
@@ -119,7 +120,7 @@
     const auto* refused = std::get_if<access_refusal>(&access);
     const bool has_document = state.catalog.content->version > 0;
     // A session accepted this late in a shutdown would be closed when the process exits.
-    const bool is_ending = state.stopping && now - state.stop_requested_at >= state.settings.entry.idle_session_grace;
+    const bool is_ending = refuses_new_sessions(state, now);
     if (!has_document || is_ending || refused != nullptr) {
         const auto code = has_document && !is_ending ? refused->code : result_code::busy;
         const char* const host_reason = is_ending ? "this host is about to end" : "this host knows no document yet";
--- a/src/camphorstack/session_host/session_entry.hpp
+++ b/src/camphorstack/session_host/session_entry.hpp
@@ -30,6 +30,10 @@
 /// transactions.
 void session_entry_tick(session_host_state& state, instant now);
 
+/// Ends the session's operation with the outcome that is known of it, and answers the statements that wait behind it. Called
+/// when the host ends, so nothing is tried again.
+void fail_session_statements(session_host_state& state, caller_session& session, const char* reason, instant now);
+
 /// Closes the idle sessions of a host that shuts down.
 void close_idle_sessions(session_host_state& state, instant now);
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -8,6 +8,7 @@
 #include "camphorstack/session_host/catalog_updates.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
 #include "camphorstack/session_host/session_host_state.hpp"
+#include "camphorstack/session_host/shutdown.hpp"
 
 namespace camphorstack {
 
@@ -17,8 +18,6 @@
 constexpr millis busy_tick_interval{20};
 /// Tick interval otherwise.
 constexpr millis idle_tick_interval{50};
-/// A host that shuts down ends this much before its grace period does.
-constexpr millis stop_margin{700};
 
 void issue_due_catalog_calls(session_host_state& state, instant now) {
     for (auto& watch : state.catalog.watches) {
@@ -60,26 +59,6 @@
     }
 }
 
-void stop_tick(session_host_state& state, instant now) {
-    if (!state.stopping || state.stopped) {
-        return;
-    }
-    const auto spent = now - state.stop_requested_at;
-    if (spent >= state.settings.entry.idle_session_grace) {
-        close_idle_sessions(state, now);
-    }
-    const bool drained =
-        spent >= state.settings.entry.idle_session_grace && state.sessions.empty() && count_open_work(state.executor) == 0;
-    if (drained || spent >= state.settings.stop_grace - stop_margin) {
-        state.stopped = true;
-        announce_shutdown(state);
-        log_decision(
-            state, "stopped",
-            "sessions=" + std::to_string(state.sessions.size()) + " runs=" + std::to_string(count_open_work(state.executor)));
-        state.actions.emplace_back(host_stopped{});
-    }
-}
-
 void tick_all(session_host_state& state, instant now) {
     issue_due_catalog_calls(state, now);
     update_leader_leases(state, now);
@@ -92,7 +71,7 @@
     closing_tick(state, now);
     leader_changes_tick(state, now);
     update_serving(state, now);
-    stop_tick(state, now);
+    shutdown_tick(state, now);
 }
 
 /// Delivers the executor's results, until there are none left, and its actions.
@@ -153,7 +132,7 @@
     const host_id& from;
     instant now;
 
-    void operator()(const run_request& request) const { submit_run(this->state.executor, this->from, request, this->now); }
+    void operator()(const run_request& request) const { receive_run_request(this->state, this->from, request, this->now); }
     void operator()(const run_result& result) const {
         if (!receive_status_result(this->state, result, this->now)) {
             receive_run_result(this->state, result, this->now);
@@ -244,15 +223,7 @@
             update_substitute_owners(this->state);
         }
     }
-    void operator()(const stop_requested& /*event*/) const {
-        if (!this->state.stopping) {
-            this->state.stopping = true;
-            this->state.stop_requested_at = this->now;
-            this->state.coordination.next_report = this->now;
-            log_decision(this->state, "stop_requested", "sessions=" + std::to_string(this->state.sessions.size()));
-            coordinator_role_tick(this->state, this->now);
-        }
-    }
+    void operator()(const stop_requested& /*event*/) const { begin_shutdown(this->state, this->now); }
 };
 
 }  // namespace
--- a/tests/session_fleet/session_fleet.cpp
+++ b/tests/session_fleet/session_fleet.cpp
@@ -40,6 +40,7 @@
         group.id = "db" + std::to_string(i);
         group.service = group.id;
         group.connections_per_endpoint = options.connections;
+        group.synchronous_replicas = options.synchronous_replicas;
         content.databases.push_back(group);
         for (const auto kind : {consistency::primary, consistency::bounded_staleness, consistency::read_your_writes}) {
             route added;
@@ -48,7 +49,7 @@
             added.sessions.database = added.id;
             added.sessions.reads = kind;
             added.sessions.max_staleness = millis{1500};
-            added.sessions.statement_timeout = millis{800};
+            added.sessions.statement_timeout = options.statement_timeout;
             added.sessions.target_latency = millis{500};
             content.routes.push_back(added);
         }
@@ -116,6 +117,7 @@
     settings.self = {id, id + ":1", id + ":2", this->locations.at(id)};
     settings.nonce = id + "-" + std::to_string(this->next_order);
     settings.regions = {{"amman-a", "amman"}, {"irbid-a", "irbid"}, {"aqaba-a", "aqaba"}};
+    settings.stop_grace = this->options.stop_grace;
     return settings;
 }
 
--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -28,6 +28,9 @@
     millis replication_time{8};
     millis promote_time{300};
     int connections = 16;
+    int synchronous_replicas = 0;
+    millis statement_timeout{800};
+    millis stop_grace{6000};  ///< Time from the request to stop a host until it is killed.
     std::uint64_t seed = 1;
 };
 
