Keep acknowledged writes that only a leaving replica has received

Cause: candidates_of took only endpoints that take new work, so a draining or evacuated replica was neither asked nor promoted, though it counts for the acknowledgement. Related: a change went on after a time limit without a replica's position, and a planned one before the successor had caught up. Ruled out: a promotion with a stale position (positions are asked after the hosts' work has ended) and a write that was acknowledged without a replica (the record shows it in the draining replica's log).

Change: with synchronous replicas all listed replicas are asked, and the promoted endpoint must have all that any sufficient set of them has. A replica without new work is promoted only as the source of the log for the next leader and gets no statements. Former primaries are demoted, so that they follow at once. Databases without synchronous replicas change their leaders as before.

--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -112,6 +112,9 @@
     std::map<endpoint_id, candidate_status_request> status_requests;  ///< In flight.
     instant next_status_request;
     endpoint_id target;  ///< The endpoint to promote; empty until one is chosen.
+    /// A promoted endpoint that takes no new work and hands its log over to a successor; empty if there is none.
+    endpoint_id interim;
+    std::set<endpoint_id> former_primaries;  ///< Endpoints that were primaries by their own view when another one was promoted.
     /// Term in which the target was a primary by its own view before the promotion; 0 if it reported that it was none.
     term_number term_before = 0;
     /// An endpoint may have been promoted since the record was written, or before by a predecessor of this coordinator.
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphorstack/coordination/candidates.hpp"
 #include "camphorstack/coordination/coordinator.hpp"
 
 namespace camphorstack {
@@ -60,18 +61,6 @@
     return std::nullopt;
 }
 
-std::vector<endpoint_id> candidates_of(const session_host_state& state, const leader_change& change) {
-    std::vector<endpoint_id> found;
-    for (const auto& [id, entry] : state.catalog.endpoints) {
-        const bool usable = entry.database == change.record.database && id != change.record.endpoint &&
-                            takes_new_work(state, entry) && !change.refused_candidates.contains(id);
-        if (usable) {
-            found.push_back(id);
-        }
-    }
-    return found;
-}
-
 void enter_step(session_host_state& state, leader_change& change, change_step step, instant now) {
     change.step = step;
     change.step_began = now;
@@ -152,38 +141,6 @@
     }
 }
 
-/// Returns the endpoint's status, requested after the hosts' work has ended; null if it is not known.
-const endpoint_self_report* status_of(const leader_change& change, const endpoint_id& endpoint) {
-    const auto found = change.statuses.find(endpoint);
-    return found == change.statuses.end() ? nullptr : &found->second.status;
-}
-
-/// Returns the candidate that has received most of the log. A candidate that is already the primary of a later term comes first.
-/// A former primary that does not know of its replacement is still a primary by its own view, but of an earlier term than the
-/// entries that others have received.
-std::optional<endpoint_id> best_candidate(const leader_change& change, const std::vector<endpoint_id>& candidates) {
-    std::optional<endpoint_id> best;
-    for (const auto& id : candidates) {
-        const auto* status = status_of(change, id);
-        if (status == nullptr) {
-            continue;
-        }
-        const auto rank = [&](const endpoint_id& candidate) {
-            const auto* known = status_of(change, candidate);
-            return std::pair(std::max(known->is_primary ? known->term : 0, known->received.term), known->received);
-        };
-        if (!best || rank(id) > rank(*best)) {
-            best = id;
-        }
-    }
-    return best;
-}
-
-bool needs_all_candidates(const session_host_state& state, const leader_change& change) {
-    const auto* group = find_database(*state.catalog.content, change.record.database);
-    return group != nullptr && group->synchronous_replicas > 0;
-}
-
 /// Returns true if a change may go on with the candidate. In a planned change, the candidate must have received all that the old
 /// leader has, unless the old leader's status stays unknown or the time to catch up is over.
 bool may_succeed(const session_host_state& state, const leader_change& change, const endpoint_id& candidate, millis elapsed) {
@@ -208,49 +165,99 @@
     write_change(state, change, now);
 }
 
+void confirm_candidate(session_host_state& state, leader_change& change, const endpoint_id& target, instant now) {
+    change.target = target;
+    enter_step(state, change, change_step::confirming, now);
+    watch_of(state, collection::fleet).next_list = now;
+}
+
+/// Returns the endpoint to promote of a database whose primary acknowledges writes before replicas have them.
+std::optional<endpoint_id> choose_asynchronous_candidate(const session_host_state& state, const leader_change& change,
+                                                         millis elapsed) {
+    const auto candidates = candidates_of(state, change);
+    const bool complete = count_known(change, candidates) == candidates.size();
+    const auto best = best_candidate(change, candidates);
+    const bool known = best && (complete || elapsed >= state.coordination.settings.status_timeout);
+    return known && may_succeed(state, change, *best, elapsed) ? best : std::nullopt;
+}
+
+/// Ends a change without a successor.
+void keep_old_leader(session_host_state& state, leader_change& change, instant now) {
+    const auto old = change.record.endpoint;
+    if (change.promotion_sent) {
+        // Another endpoint may have become the primary without the old leader's knowledge. The platform decides which one it is.
+        confirm_candidate(state, change, old, now);
+    } else {
+        publish(state, change, old, now);
+    }
+}
+
+/// Restarts the choice if no endpoint could be chosen. The old leader stays the leader if it is still the primary.
+void retry_choice(session_host_state& state, leader_change& change, instant now) {
+    change.refused_candidates.clear();
+    const auto* status = status_of(change, change.record.endpoint);
+    if (status != nullptr && status->is_primary && state.catalog.endpoints.contains(change.record.endpoint)) {
+        keep_old_leader(state, change, now);
+        return;
+    }
+    log_decision(state, "leader_change_waits",
+                 "database=" + change.record.database + " replicas=" + std::to_string(replicas_of(state, change).size()) +
+                     " answered=" + std::to_string(count_known(change, replicas_of(state, change))),
+                 true);
+    change.statuses.clear();
+    change.step_began = now;
+}
+
 void choose_candidate(session_host_state& state, leader_change& change, instant now) {
     const auto& settings = state.coordination.settings;
     const auto elapsed = now - change.step_began;
-    const auto candidates = candidates_of(state, change);
-    auto endpoints = candidates;
-    const auto& old = change.record.endpoint;
-    const bool old_listed = state.catalog.endpoints.contains(old);
-    if (change.record.planned || elapsed >= settings.status_timeout) {
-        endpoints.push_back(old);
+    const bool is_synchronous = synchronous_replicas_of(state, change.record.database) > 0;
+    auto endpoints = is_synchronous ? replicas_of(state, change) : candidates_of(state, change);
+    if (is_synchronous || change.record.planned || elapsed >= settings.status_timeout) {
+        endpoints.push_back(change.record.endpoint);
     }
     request_statuses(state, change, endpoints, now);
-    const auto answering_candidates =
-        std::ranges::count_if(candidates, [&](const auto& id) { return status_of(change, id) != nullptr; });
-    const bool complete = answering_candidates == static_cast<std::ptrdiff_t>(candidates.size());
-    const auto status_wait = needs_all_candidates(state, change) ? settings.catch_up_limit : settings.status_timeout;
-    const auto best = best_candidate(change, candidates);
-    if (best && (complete || elapsed >= status_wait)) {
-        if (may_succeed(state, change, *best, elapsed)) {
-            change.target = *best;
-            enter_step(state, change, change_step::confirming, now);
-            watch_of(state, collection::fleet).next_list = now;
+    const auto chosen = is_synchronous ? choose_synchronous_candidate(state, change, elapsed)
+                                       : choose_asynchronous_candidate(state, change, elapsed);
+    if (chosen) {
+        if (*chosen == change.record.endpoint) {
+            keep_old_leader(state, change, now);
+        } else {
+            confirm_candidate(state, change, *chosen, now);
         }
         return;
     }
-    if (best || elapsed < settings.catch_up_limit) {
-        return;
+    const bool may_still_be_chosen = !is_synchronous && best_candidate(change, candidates_of(state, change));
+    if (!may_still_be_chosen && elapsed >= settings.catch_up_limit) {
+        retry_choice(state, change, now);
     }
-    // No candidate has answered. The old leader stays the leader if it is still the primary.
-    change.refused_candidates.clear();
-    const auto* status = status_of(change, old);
-    if (status != nullptr && status->is_primary && old_listed) {
-        if (change.promotion_sent) {
-            // Another endpoint may have become the primary without the old leader's knowledge. The platform decides which one it
-            // is.
-            change.target = old;
-            enter_step(state, change, change_step::confirming, now);
-            watch_of(state, collection::fleet).next_list = now;
-        } else {
-            publish(state, change, old, now);
-        }
-    } else {
+}
+
+/// Chooses the successor of an endpoint that was promoted only because it had writes that all others lacked. A successor must
+/// have received them.
+void choose_successor_of_interim(session_host_state& state, leader_change& change, instant now) {
+    auto candidates = candidates_of(state, change);
+    std::erase(candidates, change.interim);
+    if (!state.catalog.endpoints.contains(change.interim)) {
+        change.interim.clear();
         change.statuses.clear();
         change.step_began = now;
+        return;
+    }
+    if (candidates.empty() && change.refused_candidates.empty()) {
+        publish(state, change, change.interim, now);
+        return;
+    }
+    auto endpoints = candidates;
+    endpoints.push_back(change.interim);
+    request_statuses(state, change, endpoints, now);
+    const auto* source = status_of(change, change.interim);
+    const auto best = best_candidate(change, candidates);
+    if (source != nullptr && best && status_of(change, *best)->received >= source->received) {
+        confirm_candidate(state, change, *best, now);
+    } else if (now - change.step_began >= state.coordination.settings.catch_up_limit) {
+        change.refused_candidates.clear();
+        change.step_began = now;
     }
 }
 
@@ -273,12 +280,57 @@
                               state.catalog.coordinator->record.fence};
     change.pending_call = call.id;
     change.promotion_sent = true;
+    for (const auto& [id, known] : change.statuses) {
+        if (known.status.is_primary && id != change.target) {
+            change.former_primaries.insert(id);
+        }
+    }
     const auto* before = status_of(change, change.target);
     change.term_before = before != nullptr && before->is_primary ? before->term : 0;
     state.actions.emplace_back(call);
     enter_step(state, change, change_step::promoting, now);
 }
 
+/// Makes former primaries follow the new one at once. Otherwise they would do so only after a second, and the new primary would
+/// acknowledge nothing as long as it needs them as its synchronous replicas.
+void demote_former_primaries(session_host_state& state, const leader_change& change, instant now) {
+    const auto* leader = status_of(change, change.target);
+    if (leader == nullptr || synchronous_replicas_of(state, change.record.database) == 0 ||
+        state.catalog.content->workspaces.empty()) {
+        return;
+    }
+    for (const auto& former : change.former_primaries) {
+        run_request request;
+        request.id = state.next_call++;
+        request.endpoint = former;
+        request.workspace = state.catalog.content->workspaces.front().id;
+        request.kind = run_kind::demote;
+        request.text = std::to_string(leader->term);
+        request.statement_timeout = state.coordination.settings.status_timeout;
+        request.queue_timeout = state.coordination.settings.status_timeout;
+        log_decision(state, "endpoint_demoted", "endpoint=" + former + " term=" + request.text + " successor=" + change.target);
+        start_run(state, state.settings.self.id, std::move(request), now);
+    }
+}
+
+/// Publishes the promoted endpoint as the leader. One that takes no new work only hands its log over to a successor, if there is
+/// any.
+void finish_promotion(session_host_state& state, leader_change& change, instant now) {
+    const auto entry = state.catalog.endpoints.find(change.target);
+    const bool is_interim = change.target != change.record.endpoint &&
+                            synchronous_replicas_of(state, change.record.database) > 0 &&
+                            entry != state.catalog.endpoints.end() && !takes_new_work(state, entry->second);
+    if (!is_interim) {
+        demote_former_primaries(state, change, now);
+        publish(state, change, change.target, now);
+        return;
+    }
+    change.interim = change.target;
+    change.statuses.clear();
+    change.refused_candidates.clear();
+    enter_step(state, change, change_step::choosing, now);
+}
+
 void await_leader(session_host_state& state, leader_change& change, instant now) {
     request_statuses(state, change, {change.target}, now);
     const auto* status = status_of(change, change.target);
@@ -287,7 +339,7 @@
     // A former primary is still a primary by its own view, before its promotion takes effect in a new term. If no new term
     // begins, the platform took it for the current primary.
     if (is_primary && (status->term > change.term_before || is_late)) {
-        publish(state, change, change.target, now);
+        finish_promotion(state, change, now);
     } else if (is_late) {
         change.statuses.clear();
         enter_step(state, change, change_step::choosing, now);
@@ -318,7 +370,11 @@
             }
             break;
         case change_step::choosing:
-            choose_candidate(state, change, now);
+            if (change.interim.empty()) {
+                choose_candidate(state, change, now);
+            } else {
+                choose_successor_of_interim(state, change, now);
+            }
             break;
         case change_step::confirming:
             confirm(state, change, now);
--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -29,7 +29,7 @@
         if (connection.stage != connection_stage::idle || connection.transaction) {
             continue;
         }
-        if (request.kind == run_kind::status) {
+        if (is_administrative(request.kind)) {
             return &connection;
         }
         if (connection.workspace != request.workspace) {
@@ -179,9 +179,10 @@
     const auto& request = connection.run->request;
     connection.stage = connection_stage::running;
     connection.since = now;
-    if (request.kind == run_kind::status) {
+    if (is_administrative(request.kind)) {
+        const auto command = request.kind == run_kind::status ? endpoint_command::status : endpoint_command::demote;
         connection.setup_replies = 0;
-        state.actions.emplace_back(send_endpoint_statements{connection.id, {{endpoint_command::status, "", "", "", false, {}}}});
+        state.actions.emplace_back(send_endpoint_statements{connection.id, {{command, "", request.text, "", false, {}}}});
         return;
     }
     auto statements = make_setup_statements(connection, request, state.settings.prepared_limit);
--- a/src/camphorstack/executors/endpoint_connection.hpp
+++ b/src/camphorstack/executors/endpoint_connection.hpp
@@ -25,15 +25,16 @@
     set_value,
     prepare,
     status,
+    demote,  ///< Makes a primary of a term before the one in `text` a replica.
 };
 
 struct endpoint_statement {
     endpoint_command command = endpoint_command::statement;
-    std::string id;    ///< Id of the caller's statement; empty for the host's own statements.
-    std::string text;  ///< Text of the statement or of the statement to prepare, a session value, or the argument of a prepared
-                       ///< statement.
-    std::string name;  ///< Name of a session value or of a prepared statement.
-    bool writes = false;                ///< For `prepare`: the prepared statement writes.
+    std::string id;       ///< Id of the caller's statement; empty for the host's own statements.
+    std::string text;     ///< Text of the statement or of the statement to prepare, a session value, the argument of a prepared
+                          ///< statement, or a term.
+    std::string name;     ///< Name of a session value or of a prepared statement.
+    bool writes = false;  ///< For `prepare`: the prepared statement writes.
     std::optional<log_position> after;  ///< The endpoint's log must have reached this position.
 
     friend bool operator==(const endpoint_statement&, const endpoint_statement&) = default;
@@ -57,7 +58,7 @@
     std::vector<std::string> rows;
     session_state state = session_state::idle;
     std::optional<log_position> position;
-    std::optional<endpoint_self_report> status;  ///< Answer to `status`.
+    std::optional<endpoint_self_report> status;  ///< Answer to `status` and `demote`.
 
     friend bool operator==(const endpoint_reply&, const endpoint_reply&) = default;
 };
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -141,7 +141,7 @@
                       const endpoint_reply& reply, instant now) {
     const auto run = std::move(*std::exchange(connection.run, std::nullopt));
     const auto& request = run.request;
-    if (request.kind != run_kind::status) {
+    if (!is_administrative(request.kind)) {
         update_mean_service(state, endpoint, now - connection.since);
     }
     auto result = result_of(endpoint, request, reply);
@@ -326,7 +326,7 @@
         return;
     }
     const bool continues = run.request.transaction != 0 && run.request.start == transaction_start::none;
-    if (!continues && run.request.kind != run_kind::status && estimated_wait(state, *endpoint) > run.request.queue_timeout) {
+    if (!continues && !is_administrative(run.request.kind) && estimated_wait(state, *endpoint) > run.request.queue_timeout) {
         refuse_run(state, *endpoint, run, result_code::busy, "the endpoint's queue is too long");
         return;
     }
--- a/src/camphorstack/executors/run.hpp
+++ b/src/camphorstack/executors/run.hpp
@@ -23,8 +23,14 @@
     write,
     commit,
     status,  ///< Requests the endpoint's status; carries no statement.
+    demote,  ///< Makes a former primary a replica; `text` is the term of the new primary. Not sent to other hosts.
 };
 
+/// Returns true if the run carries no statement of a caller.
+[[nodiscard]] constexpr bool is_administrative(run_kind kind) {
+    return kind == run_kind::status || kind == run_kind::demote;
+}
+
 /// How a run begins its transaction; `none` if the run is not the first one of a transaction.
 enum class transaction_start : std::uint8_t { none, plain, read_only };
 
@@ -69,7 +75,7 @@
     leader_round round = 0;         ///< Round in which the endpoint was the leader at `position`; 0 for a replica's position.
     millis wait;                    ///< Estimated queue wait of the next run at this endpoint.
     bool transaction_open = false;  ///< The run's transaction is still open at the endpoint.
-    std::optional<endpoint_self_report> status;  ///< Answer to `run_kind::status`.
+    std::optional<endpoint_self_report> status;  ///< Answer to `run_kind::status` and `run_kind::demote`.
 
     friend bool operator==(const run_result&, const run_result&) = default;
 };
--- a/tests/platform/wire.tests.cpp
+++ b/tests/platform/wire.tests.cpp
@@ -124,6 +124,7 @@
     CHECK(statement_line({endpoint_command::set_value, "", "north", "zone", false, {}}) == "QUERY - SET zone north\r\n");
     CHECK(statement_line({endpoint_command::prepare, "", "q", "w_q", true, {}}) == "QUERY - PREPARE w_q WRITE q\r\n");
     CHECK(statement_line({endpoint_command::status, "", "", "", false, {}}) == "QUERY - STATUS\r\n");
+    CHECK(statement_line({endpoint_command::demote, "", "7", "", false, {}}) == "QUERY - DEMOTE 7\r\n");
 }
 
 TEST_CASE("an endpoint's lines are assembled into replies", "[platform][endpoint-wire]") {
--- a/tests/session_fleet/database_model.cpp
+++ b/tests/session_fleet/database_model.cpp
@@ -117,6 +117,12 @@
         case endpoint_command::rollback:
             connection.transaction.reset();
             return {};
+        case endpoint_command::demote:
+            if (instance.term < std::stoull(requested.text)) {
+                instance.primary = false;
+                instance.entry.is_primary = false;
+            }
+            [[fallthrough]];
         case endpoint_command::status: {
             endpoint_reply reply;
             reply.status = endpoint_self_report{instance.primary, instance.term, end_of(instance), millis{0}};
