Take a document into force despite large numbers and unreadable parts

Cause: number_or refused numbers above 2^31 - 1 before time_or could reduce them, and any part that could not be read made the document unreadable as a whole. Ruled out: the store's answer (it arrives, the refusal is logged as object_unreadable) and the adoption of versions.

--- a/src/camphorstack/catalog/catalog.hpp
+++ b/src/camphorstack/catalog/catalog.hpp
@@ -55,6 +55,7 @@
     std::string name;
     store_revision revision = 0;
     catalog_content content;
+    std::vector<std::string> problems;  ///< Parts of the content that could not be read and were left out, each with a reason.
 
     friend bool operator==(const catalog_item&, const catalog_item&) = default;
 };
--- a/src/camphorstack/document/json_tree.cpp
+++ b/src/camphorstack/document/json_tree.cpp
@@ -47,6 +47,39 @@
     return {};
 }
 
+/// Returns the text with ".0" after each whole number that does not fit into 64 bits. json-glib would read such a number as -1 or
+/// as another wrong number without an error; as a fraction it keeps its magnitude. Expects text without unsupported syntax.
+std::string mark_large_numbers(const std::string& text) {
+    std::string result;
+    std::size_t copied = 0;
+    bool in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (in_string) {
+            i += c == '\\' ? 1 : 0;
+            in_string = c != '"';
+        } else if (c == '"') {
+            in_string = true;
+        } else if (g_ascii_isdigit(c) != FALSE) {
+            const bool is_negative = i > 0 && text[i - 1] == '-';
+            const char* const first = text.data() + i - (is_negative ? 1 : 0);
+            const char* const end = text.data() + text.size();
+            std::int64_t value = 0;
+            const auto read = std::from_chars(first, end, value);
+            const char next = read.ptr < end ? *read.ptr : ' ';
+            const auto stop = static_cast<std::size_t>(read.ptr - text.data());
+            if (read.ec == std::errc::result_out_of_range && next != '.' && g_ascii_isalpha(next) == FALSE) {
+                result.append(text, copied, stop - copied).append(".0");
+                copied = stop;
+            }
+            // Digits of a fraction or an exponent belong to the same number.
+            i = text.find_first_not_of("0123456789.eE+-", stop);
+            i = (i == std::string::npos ? text.size() : i) - 1;
+        }
+    }
+    return result.append(text, copied, std::string::npos);
+}
+
 /// Splits json-glib's message "<data>:LINE:COLUMN: text" into line and text. The parser no longer has the line after a failure.
 json_error syntax_error(const std::string& message) {
     const std::string prefix = "<data>:";
@@ -127,7 +160,8 @@
     g_signal_connect(parser.get(), "object-member", G_CALLBACK(&parse_observer::on_object_member), &observed);
     g_signal_connect(parser.get(), "object-end", G_CALLBACK(&parse_observer::on_object_end), &observed);
     GError* failure = nullptr;
-    if (json_parser_load_from_data(parser.get(), text.data(), static_cast<gssize>(text.size()), &failure) == FALSE) {
+    const auto marked = mark_large_numbers(text);
+    if (json_parser_load_from_data(parser.get(), marked.data(), static_cast<gssize>(marked.size()), &failure) == FALSE) {
         const g_error_pointer reason{failure};
         this->found_errors.push_back(syntax_error(reason ? reason->message : "unknown error"));
         return;
--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -11,10 +11,49 @@
 
 namespace {
 
+std::string object_key(collection collection_id, const std::string& name) {
+    return std::string(to_string(collection_id)) + "/" + name;
+}
+
+/// Logs a problem of an object, unless it was the object's last one too.
+void log_problem(session_host_state& state, const char* kind, collection collection_id, const catalog_item& item,
+                 const std::string& reason) {
+    const auto key = object_key(collection_id, item.name);
+    if (std::exchange(state.logged_problems[key], reason) != reason) {
+        log_decision(state, kind, "object=" + key + "@" + std::to_string(item.revision) + " reason=\"" + reason + "\"", true);
+    }
+}
+
 void log_unreadable(session_host_state& state, collection collection_id, const catalog_item& item, const std::string& reason) {
-    const auto key = std::string(to_string(collection_id)) + "/" + item.name + "@" + std::to_string(item.revision);
-    if (state.logged_unreadable.insert(key).second) {
-        log_decision(state, "object_unreadable", "object=" + key + " reason=\"" + reason + "\"", true);
+    log_problem(state, "object_unreadable", collection_id, item, reason);
+}
+
+/// Logs the first of the parts of an object that were left out, and their number.
+void log_incomplete(session_host_state& state, collection collection_id, const catalog_item& item) {
+    log_problem(state, "object_incomplete", collection_id, item,
+                item.problems.front() + " (" + std::to_string(item.problems.size()) + " left out)");
+}
+
+/// Forgets logged problems of objects that can be read again or are gone.
+void forget_problems(session_host_state& state, collection collection_id, const collection_update& update) {
+    std::set<std::string> kept;
+    for (const auto& item : update.items) {
+        const auto key = object_key(collection_id, item.name);
+        // Fleet records are parsed later; `adopt_fleet_item` forgets their problems.
+        const bool is_readable = item.problems.empty() && !std::holds_alternative<unreadable_item>(item.content);
+        if (!is_readable || collection_id == collection::fleet) {
+            kept.insert(key);
+        } else {
+            state.logged_problems.erase(key);
+        }
+    }
+    for (const auto& name : update.removed) {
+        state.logged_problems.erase(object_key(collection_id, name));
+    }
+    if (update.complete) {
+        const auto prefix = object_key(collection_id, "");
+        std::erase_if(state.logged_problems,
+                      [&](const auto& logged) { return logged.first.starts_with(prefix) && !kept.contains(logged.first); });
     }
 }
 
@@ -216,6 +255,7 @@
     }
     try {
         const auto record = parse_fleet_record(item.name, text->text);
+        state.logged_problems.erase(object_key(collection::fleet, item.name));
         if (const auto* coordinator = std::get_if<coordinator_record>(&record)) {
             adopt_coordinator(state, *coordinator, item.revision, now);
         } else if (const auto* members = std::get_if<members_record>(&record)) {
@@ -231,9 +271,13 @@
 }
 
 void apply_collection_update(session_host_state& state, collection collection_id, const collection_update& update, instant now) {
+    forget_problems(state, collection_id, update);
     switch (collection_id) {
         case collection::document:
             for (const auto& item : update.items) {
+                if (!item.problems.empty()) {
+                    log_incomplete(state, collection_id, item);
+                }
                 if (const auto* content = std::get_if<std::shared_ptr<const document>>(&item.content)) {
                     adopt_document(state, *content, now);
                 } else if (const auto* bad = std::get_if<unreadable_item>(&item.content)) {
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -84,7 +84,7 @@
     coordination_state coordination;
     std::map<workspace_id, operation_counts> counts;
     store_call_counts store_calls;
-    std::set<std::string> logged_unreadable;  ///< Objects that were already logged as unreadable, with collection and revision.
+    std::map<std::string, std::string> logged_problems;  ///< Last logged problem of each object, by collection and name.
     bool serving = false;
     bool stopping = false;
     bool stopped = false;
