Read the other objects of a response that holds an unreadable one

Cause: a response of the store was parsed as one text, and a fault anywhere in it made the response count as no answer. Ruled out: an end of the process (none was seen, nesting is checked before parsing).

Change: a response that cannot be parsed is split into its objects, whose contents are checked one by one; the unreadable ones are reported under their names. An endpoint's entry must have all its fields with the right types and ranges, a port among them; before, an entry without Version or with a port out of range counted as an endpoint, and one that said "primary" kept the first leader from being recorded. Responses that cannot be read are logged.

--- a/src/camphorstack/catalog/catalog.hpp
+++ b/src/camphorstack/catalog/catalog.hpp
@@ -96,6 +96,7 @@
     std::vector<std::string> removed;  ///< Watch: names of removed objects.
     bool more = false;                 ///< List: the list continues after the last item.
     store_revision revision = 0;       ///< Revision of the store.
+    std::string problem;  ///< Why the answer could not be read, or which objects it lacks therefore; empty otherwise.
 
     friend bool operator==(const catalog_answer&, const catalog_answer&) = default;
 };
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -92,6 +92,10 @@
 
 void receive_catalog_answer(session_host_state& state, const catalog_answer& answer, instant now) {
     ++state.store_calls.answers[answer.status];
+    if (!answer.problem.empty()) {
+        log_decision(state, "store_answer_unreadable", "call=" + std::to_string(answer.id) + " reason=\"" + answer.problem + "\"",
+                     true);
+    }
     for (auto& watch : state.catalog.watches) {
         if (!owns_call(watch, answer.id)) {
             continue;
--- a/tests/platform/path.tests.cpp
+++ b/tests/platform/path.tests.cpp
@@ -241,6 +241,34 @@
     }
 }
 
+// Guards against hosts that take no change of any endpoint any more, or never become ready, because of one entry of another
+// writer (review/3).
+TEST_CASE("entries of other writers change nothing for callers, for running hosts and for starting ones", "[platform][path]") {
+    const std::string deep = std::string(70, '[') + std::string(70, ']');
+    const auto odd = GENERATE_COPY(std::string(R"({"Version":"\udcff"})"), std::string("{\"Version\":\"\xff\"}"),
+                                   R"({"Service":"db","Version":)" + deep + "}", std::string(R"({"Slots":99999999999999999999})"),
+                                   std::string(R"({"Service":"db","Address":"127.0.0.1:70000","Zone":"amman-a","Version":"v1",)"
+                                               R"("Slots":2,"State":"ready","ColdRemainingMs":0,"Sequence":1,)"
+                                               R"("DatabaseRole":"primary"})"));
+    CAPTURE(odd);
+    platform_fixture system;
+    system.store.put("servers", "a-odd", odd);
+    system.store.put("servers", "z-odd", odd);
+    run_for(millis{1500});
+    // The running host goes on following the endpoints.
+    system.store.remove("servers", "db-1");
+    run_for(millis{3000});
+    CHECK(system.monitoring.metrics().find("endpoint=\"db-1\"") == std::string::npos);
+    CHECK(system.monitoring.metrics().find("odd") == std::string::npos);
+    CHECK(system.monitoring.is_ready());
+    system.restart();
+    raw_client caller(system.callers);
+    caller.send("START books first-key\r\n");
+    REQUIRE(caller.wait_for("READY I -\r\n"));
+    caller.send("QUERY q1 WRITE item value\r\n");
+    CHECK(caller.wait_for("DONE proof\r\n"));
+}
+
 // Guards against a fleet that cannot start because of a large number in the document (review/5).
 TEST_CASE("a document with a large number takes effect, also for a starting host", "[platform][path]") {
     platform_fixture system;
--- a/tests/platform/store_json.tests.cpp
+++ b/tests/platform/store_json.tests.cpp
@@ -56,6 +56,19 @@
     return *std::get<std::shared_ptr<const document>>(item.content);
 }
 
+std::string endpoint_with(const std::string& field, const std::string& value) {
+    auto spec = endpoint_spec;
+    const auto start = spec.find("\"" + field + "\":") + field.size() + 3;
+    const auto end = spec.find_first_of(",}", start);
+    return spec.replace(start, end - start, value);
+}
+
+std::string endpoint_without(const std::string& field) {
+    auto spec = endpoint_spec;
+    const auto start = spec.find("\"" + field + "\":");
+    return spec.replace(start, field.size() + 2, "\"X" + field + "\"");
+}
+
 }  // namespace
 
 TEST_CASE("the platform's document is read and its keys are hashed", "[platform][store-json]") {
@@ -161,6 +174,101 @@
     }
 }
 
+// Guards against an entry of another writer that counts as an endpoint, for example as a second primary at the first start.
+TEST_CASE("an entry with a field missing, of another type or out of range names no endpoint", "[platform][store-json]") {
+    CHECK(std::holds_alternative<endpoint_entry>(content_of(collection::endpoints, endpoint_spec)));
+    for (const auto* field :
+         {"Service", "Address", "Zone", "Version", "Slots", "State", "ColdRemainingMs", "DatabaseRole", "Sequence"}) {
+        CAPTURE(field);
+        CHECK(std::holds_alternative<unreadable_item>(content_of(collection::endpoints, endpoint_without(field))));
+        for (const auto* value : {"null", "true", "[]", "{}", "-1", "1e400", "-99999999999999999999"}) {
+            CAPTURE(value);
+            CHECK(std::holds_alternative<unreadable_item>(content_of(collection::endpoints, endpoint_with(field, value))));
+        }
+    }
+    for (const auto* address :
+         {"10.128.0.9", "10.128.0.9:", "10.128.0.9:0", "10.128.0.9:65536", "10.128.0.9:99999999999999999999", "10.128.0.9:-1",
+          "10.128.0.999:80", "host:80", "", ":80", "10.128.0.9:80 "}) {
+        CAPTURE(address);
+        const auto spec = endpoint_with("Address", "\"" + std::string(address) + "\"");
+        CHECK(std::holds_alternative<unreadable_item>(content_of(collection::endpoints, spec)));
+    }
+    for (const auto* value : {"0", "99999999999999999999", "2.5", "\"2\""}) {
+        CAPTURE(value);
+        CHECK(std::holds_alternative<unreadable_item>(content_of(collection::endpoints, endpoint_with("Slots", value))));
+    }
+    for (const auto* value : {"0", "1500", "1500.5"}) {
+        CHECK(std::holds_alternative<endpoint_entry>(content_of(collection::endpoints, endpoint_with("ColdRemainingMs", value))));
+    }
+    CHECK(std::holds_alternative<endpoint_entry>(content_of(collection::endpoints, endpoint_with("Slots", "4294967296"))));
+}
+
+// Guards against an object of another writer that hides all others of its kind (review/3).
+TEST_CASE("an object that cannot be parsed hides no other object", "[platform][store-json]") {
+    const std::string deep = std::string(70, '[') + std::string(70, ']');
+    const std::string very_deep = std::string(100000, '[') + std::string(100000, ']');
+    const std::vector<std::string> contents{endpoint_with("Version", "\"\\udcff\\udcfe\""),
+                                            endpoint_with("Version", "\"\xff\xfe\""),
+                                            endpoint_with("Version", deep),
+                                            endpoint_with("Slots", very_deep),
+                                            endpoint_with("Slots", "NaN"),
+                                            endpoint_with("Slots", "0x"),
+                                            R"({"Service":"a","Service":"b"})",
+                                            "{'single':1}",
+                                            "/* comment */ {}",
+                                            "undefined",
+                                            R"("\x00")",
+                                            "{\"\xc3\":1}"};
+    for (const auto& content : contents) {
+        CAPTURE(content.substr(0, 80));
+        const auto odd = object("i-odd", 4, content);
+        for (const auto& items : {odd + "," + object("i-1", 3, endpoint_spec), object("i-1", 3, endpoint_spec) + "," + odd}) {
+            const auto answer = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200, list(items));
+            REQUIRE(answer.items.size() == 2);
+            CHECK(answer.revision == 530);
+            for (const auto& item : answer.items) {
+                CHECK(std::holds_alternative<endpoint_entry>(item.content) == (item.name == "i-1"));
+            }
+        }
+        const auto events =
+            read_store_answer(call_of(collection::endpoints, catalog_operation::watch), 200,
+                              R"({"events":[{"Removed":false,"Object":)" + odd + R"(},{"Removed":false,"Object":)" +
+                                  object("i-1", 5, endpoint_spec) + R"(},{"Removed":true,"Object":)" + object("i-2", 6, content) +
+                                  R"(}],"StoreRevision":6})");
+        REQUIRE(events.items.size() == 2);
+        CHECK(events.items[0].name == "i-odd");
+        CHECK(std::holds_alternative<unreadable_item>(events.items[0].content));
+        CHECK(std::holds_alternative<endpoint_entry>(events.items[1].content));
+        CHECK(events.removed == std::vector<std::string>{"i-2"});
+        const auto conflict =
+            read_store_answer(call_of(collection::fleet, catalog_operation::replace), 409, object("members", 415, content));
+        CHECK(conflict.status == catalog_status::conflict);
+        CHECK(conflict.items.at(0).revision == 415);
+    }
+}
+
+// Guards against an evacuation that is not followed, or a document that is not read, because of an odd object beside it.
+TEST_CASE("odd objects beside evacuations and the document change nothing", "[platform][store-json]") {
+    const std::string deep = std::string(70, '[') + std::string(70, ']');
+    const auto evacuations = read_store_answer(call_of(collection::evacuations, catalog_operation::list), 200,
+                                               list(object("amman-a", 3, deep) + "," + object("irbid-a", 4, "{}")));
+    REQUIRE(evacuations.items.size() == 2);
+    for (const auto& item : evacuations.items) {
+        CHECK(std::holds_alternative<evacuation_item>(item.content));
+    }
+    const auto documents = read_store_answer(call_of(collection::document, catalog_operation::list), 200,
+                                             list(object("draft", 9, deep) + "," + object("main", 3, document_spec)));
+    CHECK(document_of(documents.items.at(1)).version == 7);
+    // Contents that the store's own fields hold are not needed.
+    const auto meta = R"({"meta":{"Name":"i-1","Revision":3,"Finalizers":)" + deep + R"(},"spec":)" + endpoint_spec + "}";
+    const auto listed = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200, list(meta));
+    CHECK(std::holds_alternative<endpoint_entry>(listed.items.at(0).content));
+    const auto nameless = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200,
+                                            list(object("\\udcff", 4, "{}") + "," + object("i-1", 3, endpoint_spec)));
+    CHECK(nameless.items.size() == 1);
+    CHECK_FALSE(nameless.problem.empty());
+}
+
 TEST_CASE("calls to the store have the expected paths and bodies", "[platform][store-json]") {
     auto call = call_of(collection::endpoints, catalog_operation::list);
     CHECK(store_path(call) == "/camphorstack/objects/servers");
@@ -217,6 +325,7 @@
         {collection::document, list(object("main", 4, document_spec))},
         {collection::endpoints, list(object("i-1", 4, endpoint_spec))},
         {collection::fleet, list(object("members", 4, R"({"epoch":1,"hosts":[]})"))},
+        {collection::endpoints, list(object("i-1", 4, endpoint_spec) + "," + object("i-2", 5, "{\"a\":\"\xff\"}"))},
     };
     for (int i = 0; i < 6000; ++i) {
         const auto& [collection_id, text] = seeds[random() % seeds.size()];
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -266,7 +266,8 @@
         this->store.put("servers", id,
                         R"({"Service":"db","Address":")" + (id == "db-0" ? this->first_proxy : this->second_proxy).address() +
                             R"(","Zone":")" + known.entry.location + R"(","State":")" +
-                            (this->draining == id ? "draining" : "ready") + R"(","Slots":2,"DatabaseRole":")" +
+                            (this->draining == id ? "draining" : "ready") +
+                            R"(","Version":"v1","Slots":2,"ColdRemainingMs":0,"Sequence":1,"DatabaseRole":")" +
                             (is_primary ? "primary" : "replica") + R"("})");
     }
 }
