Fall back to a former primary only when no other endpoint answers

With synchronous replicas, the longer log of a former primary could hold up a change, too.

A former primary is now left out of the choice until the time to catch up is over and nothing else has answered; otherwise the choice starts again or the old leader goes on. Log texts that quote other writers are kept to one line of bounded length.

--- a/src/camphorstack/coordination/candidates.cpp
+++ b/src/camphorstack/coordination/candidates.cpp
@@ -81,6 +81,16 @@
     return status != nullptr && status->is_primary && status->term < newest_term(state, change.record.database);
 }
 
+std::vector<endpoint_id> without_former_primaries(const session_host_state& state, const leader_change& change,
+                                                  const std::vector<endpoint_id>& endpoints, millis elapsed) {
+    std::vector<endpoint_id> others;
+    std::ranges::copy_if(endpoints, std::back_inserter(others),
+                         [&](const endpoint_id& id) { return !is_former_primary(state, change, id); });
+    const bool others_answer = count_known(change, others) > 0 || status_of(change, change.record.endpoint) != nullptr;
+    const bool is_last_resort = elapsed >= state.coordination.settings.catch_up_limit && !others_answer;
+    return is_last_resort ? endpoints : others;
+}
+
 const endpoint_self_report* status_of(const leader_change& change, const endpoint_id& endpoint) {
     const auto found = change.statuses.find(endpoint);
     return found == change.statuses.end() ? nullptr : &found->second.status;
@@ -116,15 +126,16 @@
 
 std::optional<endpoint_id> choose_synchronous_candidate(const session_host_state& state, const leader_change& change,
                                                         millis elapsed) {
-    const auto replicas = replicas_of(state, change);
+    const bool timed_out = elapsed >= state.coordination.settings.status_timeout;
+    // What only a former primary holds was not acknowledged: its successor had all acknowledged writes.
+    const auto replicas = without_former_primaries(state, change, replicas_of(state, change), elapsed);
     const bool all_known = count_known(change, replicas) == replicas.size();
     const auto end = acknowledged_end(change, replicas, synchronous_replicas_of(state, change.record.database));
-    const bool timed_out = elapsed >= state.coordination.settings.status_timeout;
     if (!end || (!all_known && !timed_out)) {
         return std::nullopt;
     }
     const auto has_all = [&](const std::optional<endpoint_id>& id) { return id && status_of(change, *id)->received >= *end; };
-    auto usable = best_candidate(change, candidates_of(state, change));
+    auto usable = best_candidate(change, without_former_primaries(state, change, candidates_of(state, change), elapsed));
     const auto best = best_candidate(change, replicas);
     // A promotion that was sent before may have taken effect at an endpoint that takes no new work.
     const bool superseded = usable && is_primary_of_later_term(change, *best, *usable);
--- a/src/camphorstack/coordination/candidates.hpp
+++ b/src/camphorstack/coordination/candidates.hpp
@@ -21,6 +21,11 @@
 /// that were dropped by the promotion of another endpoint; they must not return.
 [[nodiscard]] bool is_former_primary(const session_host_state& state, const leader_change& change, const endpoint_id& id);
 
+/// Returns the endpoints without former primaries. Returns all of them if no other endpoint has answered within the time to catch
+/// up, the old leader included.
+[[nodiscard]] std::vector<endpoint_id> without_former_primaries(const session_host_state& state, const leader_change& change,
+                                                                const std::vector<endpoint_id>& endpoints, millis elapsed);
+
 /// Returns the endpoint's status, requested after the hosts' work has ended; null if it is not known.
 [[nodiscard]] const endpoint_self_report* status_of(const leader_change& change, const endpoint_id& endpoint);
 
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -168,14 +168,10 @@
 /// Returns the endpoint to promote of a database whose primary acknowledges writes before replicas have them.
 std::optional<endpoint_id> choose_asynchronous_candidate(const session_host_state& state, const leader_change& change,
                                                          millis elapsed) {
-    auto candidates = candidates_of(state, change);
+    const auto candidates = candidates_of(state, change);
     const bool timed_out = elapsed >= state.coordination.settings.status_timeout;
     const bool complete = count_known(change, candidates) == candidates.size();
-    // A former primary is promoted only if no other endpoint answers, the old leader included.
-    if (!timed_out || status_of(change, change.record.endpoint) != nullptr) {
-        std::erase_if(candidates, [&](const endpoint_id& id) { return is_former_primary(state, change, id); });
-    }
-    const auto best = best_candidate(change, candidates);
+    const auto best = best_candidate(change, without_former_primaries(state, change, candidates, elapsed));
     return best && (complete || timed_out) && may_succeed(state, change, *best, elapsed) ? best : std::nullopt;
 }
 
@@ -225,8 +221,7 @@
         }
         return;
     }
-    const bool may_still_be_chosen = !is_synchronous && best_candidate(change, candidates_of(state, change));
-    if (!may_still_be_chosen && elapsed >= settings.catch_up_limit) {
+    if (elapsed >= settings.catch_up_limit) {
         retry_choice(state, change, now);
     }
 }
--- a/src/camphorstack/support/decision_log.cpp
+++ b/src/camphorstack/support/decision_log.cpp
@@ -3,11 +3,15 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 namespace camphorstack {
 
 namespace {
 
 constexpr std::int64_t milliseconds_per_second = 1000;
+/// Longer texts are cut, so that a line fits into one write to a pipe.
+constexpr std::size_t max_text_bytes = 3000;
 
 }  // namespace
 
@@ -33,7 +37,10 @@
         return;
     }
     ++state.lines;
-    std::string line = "t=" + std::to_string(now.since_start) + " event=" + kind + ' ' + text;
+    std::string line = "t=" + std::to_string(now.since_start) + " event=" + kind + ' ' + text.substr(0, max_text_bytes);
+    // Texts may quote what others wrote. A line break in it must not look like another entry.
+    std::ranges::replace_if(
+        line, [](unsigned char c) { return c < ' '; }, '?');
     if (state.suppressed_lines > 0) {
         line += " left_out=" + std::to_string(state.suppressed_lines);
     }
--- a/tests/session_fleet/leader_stability.tests.cpp
+++ b/tests/session_fleet/leader_stability.tests.cpp
@@ -124,3 +124,38 @@
         CHECK(fleet.database(0).primary().entry.id == "db0-0");
     }
 }
+
+// Guards against a change that never ends because the only other endpoint is a former primary.
+TEST_CASE("a suspected leader goes on if the only other endpoint is a former primary", "[session-fleet][former-primary]") {
+    const int synchronous = GENERATE(0, 1);
+    session_fleet fleet(fleet_options{.synchronous_replicas = synchronous});
+    fleet.run_for(start_time);
+    fleet.lagging = {"db0-0"};
+    const auto writer = fleet.connect("host-3", session_fleet::route_name(0, consistency::primary), "key-0");
+    fleet.run_for(millis{20});
+    for (int i = 0; i < 7; ++i) {
+        fleet.cut("host-" + std::to_string(i), "db0-0");
+    }
+    fleet.send(writer, write_statement("unanswered", "item", "x"));
+    REQUIRE(fleet.run_until([&] { return fleet.database(0).primary().entry.id != "db0-0"; }, millis{12000}));
+    const auto second = fleet.database(0).primary().entry.id;
+    fleet.kill_instance(second == "db0-1" ? "db0-2" : "db0-1");
+    fleet.run_for(millis{1000});
+    fleet.heal();
+    for (int i = 0; i < 7; ++i) {
+        auto& coordination = fleet.host("host-" + std::to_string(i)).coordination;
+        coordination.leaders_kept_at[second] = fleet.now();
+    }
+    for (int i = 0; i < 7; ++i) {
+        fleet.cut("host-" + std::to_string(i), second);
+    }
+    fleet.send(fleet.connect("host-4", session_fleet::route_name(0, consistency::primary), "key-0"),
+               write_statement("unanswered", "item", "x"));
+    fleet.run_for(millis{900});
+    fleet.heal();
+    fleet.run_for(millis{5000});
+    CHECK(fleet.database(0).primary().entry.id == second);
+    const auto session = fleet.connect("host-5", session_fleet::route_name(0, consistency::primary), "key-0");
+    fleet.run_for(millis{20});
+    CHECK(fleet.ask(session, write_statement("after", "item", "x")).code == result_code::none);
+}
--- a/tests/support/decision_log.tests.cpp
+++ b/tests/support/decision_log.tests.cpp
@@ -76,3 +76,15 @@
     CHECK(after.find("request=after") != std::string::npos);
     CHECK(after.find("not_taken=") != std::string::npos);
 }
+
+// Guards against text of other writers that forges log entries or fills the log.
+TEST_CASE("a text with line breaks or of great length stays one short line", "[decision-log]") {
+    test_pipe pipe;
+    manual_clock time;
+    decision_log log(time, pipe.ends[1], {});
+    log.write("object_unreadable", "reason=\"a\nt=1 event=host_ended\x01\"" + std::string(100000, 'x'), true);
+    const auto text = pipe.read_all();
+    CHECK(std::ranges::count(text, '\n') == 1);
+    CHECK(text.find("reason=\"a?t=1 event=host_ended?\"") != std::string::npos);
+    CHECK(text.size() < 4096);
+}
