--- a/tests/session_fleet/leader_stability.tests.cpp
+++ b/tests/session_fleet/leader_stability.tests.cpp
@@ -31,9 +31,9 @@
 class steady_load {
 public:
     explicit steady_load(session_fleet& target) : fleet(target) {
-        for (std::size_t i = 0; i < 7; ++i) {
-            this->sessions.push_back(this->fleet.connect(
-                "host-" + std::to_string(i), session_fleet::route_name(i % 3, consistency::primary), session_fleet::key_of(i)));
+        for (std::size_t i = 0; i < 21; ++i) {
+            this->sessions.push_back(this->fleet.connect("host-" + std::to_string(i / 3),
+                                                         session_fleet::route_name(i % 3, consistency::primary), "key-0"));
         }
     }
 
@@ -45,7 +45,7 @@
                     this->fleet.send(session, write_statement("w" + std::to_string(this->count++), "item", "x"));
                 }
             }
-            this->fleet.run_for(millis{40});
+            this->fleet.run_for(millis{100});
         }
     }
 
@@ -63,7 +63,7 @@
     using cut_kind = std::tuple<unsigned, bool, millis>;
     const auto [seed, resets, cut_time] =
         GENERATE(cut_kind{1, true, millis{1500}}, cut_kind{2, true, millis{900}}, cut_kind{3, true, millis{4000}},
-                 cut_kind{1, false, millis{1500}}, cut_kind{2, false, millis{900}});
+                 cut_kind{1, false, millis{1500}}, cut_kind{2, false, millis{900}}, cut_kind{2, false, millis{4000}});
     session_fleet fleet(fleet_options{.service_time = millis{2}, .connections = 64, .seed = seed});
     fleet.run_for(start_time);
     fleet.cuts_reset = resets;
