--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -3,6 +3,7 @@
 
 #include "camphorstack/coordination/candidates.hpp"
 #include "camphorstack/coordination/coordinator.hpp"
+#include "camphorstack/coordination/endpoint_requests.hpp"
 #include "camphorstack/coordination/leader_suspicion.hpp"
 
 namespace camphorstack {
@@ -63,35 +64,6 @@
                      (change.target.empty() ? "" : " target=" + change.target));
 }
 
-void request_status(session_host_state& state, leader_change& change, const endpoint_id& endpoint, instant now) {
-    const auto open = change.status_requests.find(endpoint);
-    const bool waits =
-        open != change.status_requests.end() && now - open->second.sent < state.coordination.settings.status_timeout * 2;
-    if (waits || state.catalog.content->workspaces.empty()) {
-        return;
-    }
-    run_request request;
-    request.id = state.next_call++;
-    request.endpoint = endpoint;
-    request.workspace = state.catalog.content->workspaces.front().id;
-    request.kind = run_kind::status;
-    request.statement_timeout = state.coordination.settings.status_timeout;
-    request.queue_timeout = state.coordination.settings.status_timeout;
-    change.status_requests[endpoint] = {request.id, now};
-    state.coordination.status_requests[request.id] = {change.record.database, endpoint};
-    start_run(state, executor_host(state, endpoint), std::move(request), now);
-}
-
-void request_statuses(session_host_state& state, leader_change& change, const std::vector<endpoint_id>& endpoints, instant now) {
-    if (now < change.next_status_request) {
-        return;
-    }
-    change.next_status_request = now + state.coordination.settings.status_interval;
-    for (const auto& endpoint : endpoints) {
-        request_status(state, change, endpoint, now);
-    }
-}
-
 /// Returns true if no host has work left on the former leader or may start any: all members have reported this or may not use
 /// leaders, or all leases have expired.
 bool is_closed(const session_host_state& state, const leader_change& change, instant now) {
@@ -196,9 +168,10 @@
         keep_old_leader(state, change, now);
         return;
     }
+    const auto replicas = replicas_of(state, change);
     log_decision(state, "leader_change_waits",
-                 "database=" + change.record.database + " replicas=" + std::to_string(replicas_of(state, change).size()) +
-                     " answered=" + std::to_string(count_known(change, replicas_of(state, change))),
+                 "database=" + change.record.database + " replicas=" + std::to_string(replicas.size()) +
+                     " answered=" + std::to_string(count_known(change, replicas)),
                  true);
     change.statuses.clear();
     change.step_began = now;
@@ -284,28 +257,6 @@
     enter_step(state, change, change_step::promoting, now);
 }
 
-/// Makes former primaries follow the new one at once. Otherwise they would do so only after a second, and the new primary would
-/// acknowledge nothing as long as it needs them as its synchronous replicas.
-void demote_former_primaries(session_host_state& state, const leader_change& change, instant now) {
-    const auto* leader = status_of(change, change.target);
-    if (leader == nullptr || synchronous_replicas_of(state, change.record.database) == 0 ||
-        state.catalog.content->workspaces.empty()) {
-        return;
-    }
-    for (const auto& former : change.former_primaries) {
-        run_request request;
-        request.id = state.next_call++;
-        request.endpoint = former;
-        request.workspace = state.catalog.content->workspaces.front().id;
-        request.kind = run_kind::demote;
-        request.text = std::to_string(leader->term);
-        request.statement_timeout = state.coordination.settings.status_timeout;
-        request.queue_timeout = state.coordination.settings.status_timeout;
-        log_decision(state, "endpoint_demoted", "endpoint=" + former + " term=" + request.text + " successor=" + change.target);
-        start_run(state, state.settings.self.id, std::move(request), now);
-    }
-}
-
 /// Publishes the promoted endpoint as the leader. One that takes no new work only hands its log over to a successor, if there is
 /// any.
 void finish_promotion(session_host_state& state, leader_change& change, instant now) {
@@ -363,9 +314,12 @@
             break;
         case change_step::closing:
             request_old_status(state, change, now);
-            if (is_closed(state, change, now) && may_keep_leader(state, change, now)) {
+            if (!is_closed(state, change, now)) {
+                break;
+            }
+            if (may_keep_leader(state, change, now)) {
                 keep_old_leader(state, change, now);
-            } else if (is_closed(state, change, now)) {
+            } else {
                 change.statuses.clear();
                 change.status_requests.clear();
                 change.next_status_request = now;
@@ -544,34 +498,4 @@
     }
 }
 
-bool receive_status_result(session_host_state& state, const run_result& result, instant now) {
-    auto& coordination = state.coordination;
-    const auto request = coordination.status_requests.find(result.id);
-    if (request == coordination.status_requests.end()) {
-        return false;
-    }
-    const auto [database, endpoint] = request->second;
-    coordination.status_requests.erase(request);
-    const auto change = coordination.changes.find(database);
-    if (change == coordination.changes.end()) {
-        return true;
-    }
-    const auto pending = change->second.status_requests.find(endpoint);
-    if (pending == change->second.status_requests.end() || pending->second.run != result.id) {
-        return true;
-    }
-    change->second.status_requests.erase(pending);
-    if (result.status) {
-        change->second.statuses[endpoint] = {*result.status, now};
-        auto& newest = coordination.newest_terms[database];
-        newest = std::max(newest, result.status->term);
-        log_decision(state, "endpoint_status",
-                     "endpoint=" + endpoint + " primary=" + (result.status->is_primary ? "yes" : "no") + " term=" +
-                         std::to_string(result.status->term) + " received=" + std::to_string(result.status->received.term) + "." +
-                         std::to_string(result.status->received.index));
-    }
-    leader_changes_tick(state, now);
-    return true;
-}
-
 }  // namespace camphorstack
--- a/src/camphorstack/document/json_tree.cpp
+++ b/src/camphorstack/document/json_tree.cpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <utility>
 
+#include "camphorstack/document/json_values.hpp"
 #include "camphorstack/support/g_pointer.hpp"
 
 namespace camphorstack {
@@ -26,14 +27,10 @@
 /// values are nested too deeply. Returns an empty string if `text` can be parsed.
 std::string find_unsupported_syntax(const std::string& text) {
     int depth = 0;
-    bool in_string = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char c = text[i];
-        if (in_string) {
-            i += c == '\\' ? 1 : 0;
-            in_string = c != '"';
-        } else if (c == '"') {
-            in_string = true;
+        if (c == '"') {
+            i = end_of_json_string(text, i);
         } else if (!is_allowed_outside_strings(c)) {
             return "not valid JSON: unexpected character outside of a string";
         } else if (c == '{' || c == '[') {
@@ -47,19 +44,16 @@
     return {};
 }
 
-/// Returns the text with ".0" after each whole number that does not fit into 64 bits. json-glib would read such a number as -1 or
-/// as another wrong number without an error; as a fraction it keeps its magnitude. Expects text without unsupported syntax.
+/// Returns the text with ".0" after each whole number that does not fit into 64 bits; empty if there is none. json-glib would
+/// read such a number as -1 or as another wrong number without an error; as a fraction it keeps its magnitude. Expects text
+/// without unsupported syntax.
 std::string mark_large_numbers(const std::string& text) {
     std::string result;
     std::size_t copied = 0;
-    bool in_string = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char c = text[i];
-        if (in_string) {
-            i += c == '\\' ? 1 : 0;
-            in_string = c != '"';
-        } else if (c == '"') {
-            in_string = true;
+        if (c == '"') {
+            i = end_of_json_string(text, i);
         } else if (g_ascii_isdigit(c) != FALSE) {
             const bool is_negative = i > 0 && text[i - 1] == '-';
             const char* const first = text.data() + i - (is_negative ? 1 : 0);
@@ -77,7 +71,7 @@
             i = (i == std::string::npos ? text.size() : i) - 1;
         }
     }
-    return result.append(text, copied, std::string::npos);
+    return copied == 0 ? std::string() : result.append(text, copied, std::string::npos);
 }
 
 /// Splits json-glib's message "<data>:LINE:COLUMN: text" into line and text. The parser no longer has the line after a failure.
@@ -161,7 +155,8 @@
     g_signal_connect(parser.get(), "object-end", G_CALLBACK(&parse_observer::on_object_end), &observed);
     GError* failure = nullptr;
     const auto marked = mark_large_numbers(text);
-    if (json_parser_load_from_data(parser.get(), marked.data(), static_cast<gssize>(marked.size()), &failure) == FALSE) {
+    const auto& parsed = marked.empty() ? text : marked;
+    if (json_parser_load_from_data(parser.get(), parsed.data(), static_cast<gssize>(parsed.size()), &failure) == FALSE) {
         const g_error_pointer reason{failure};
         this->found_errors.push_back(syntax_error(reason ? reason->message : "unknown error"));
         return;
@@ -210,6 +205,12 @@
     return node == nullptr ? std::nullopt : std::optional<std::int64_t>{json_node_get_int(node)};
 }
 
+std::optional<double> number_member(JsonObject* parent, const char* name) {
+    JsonNode* node = member_of_kind(parent, name, JSON_NODE_VALUE);
+    const auto type = node == nullptr ? G_TYPE_NONE : json_node_get_value_type(node);
+    return type == G_TYPE_INT64 || type == G_TYPE_DOUBLE ? std::optional{json_node_get_double(node)} : std::nullopt;
+}
+
 std::optional<bool> boolean_member(JsonObject* parent, const char* name) {
     JsonNode* node = member_of_type(parent, name, G_TYPE_BOOLEAN);
     return node == nullptr ? std::nullopt : std::optional<bool>{json_node_get_boolean(node) != FALSE};
--- a/src/camphorstack/document/json_tree.hpp
+++ b/src/camphorstack/document/json_tree.hpp
@@ -59,6 +59,9 @@
 /// Returns the member if it is an integer, else nullopt.
 [[nodiscard]] std::optional<std::int64_t> integer_member(JsonObject* parent, const char* name);
 
+/// Returns the member if it is a number, whole or not, else nullopt.
+[[nodiscard]] std::optional<double> number_member(JsonObject* parent, const char* name);
+
 /// Returns the member if it is a boolean, else nullopt.
 [[nodiscard]] std::optional<bool> boolean_member(JsonObject* parent, const char* name);
 
--- a/src/camphorstack/document/json_values.cpp
+++ b/src/camphorstack/document/json_values.cpp
@@ -15,18 +15,6 @@
     return text.substr(first, text.find_last_not_of(spaces) - first + 1);
 }
 
-/// Returns the position of the quote that ends the string that starts at `start`, or `npos`.
-std::size_t end_of_string(std::string_view text, std::size_t start) {
-    for (std::size_t i = start + 1; i < text.size(); ++i) {
-        if (text[i] == '\\') {
-            ++i;
-        } else if (text[i] == '"') {
-            return i;
-        }
-    }
-    return std::string_view::npos;
-}
-
 /// Returns the position of the first of `stops` in `text` that is neither in a string nor in a nested value, or `npos`.
 std::size_t find_outside(std::string_view text, std::string_view stops) {
     std::size_t depth = 0;
@@ -36,10 +24,7 @@
             return i;
         }
         if (c == '"') {
-            i = end_of_string(text, i);
-            if (i == std::string_view::npos) {
-                return i;
-            }
+            i = end_of_json_string(text, i);
         } else if (c == '{' || c == '[') {
             ++depth;
         } else if ((c == '}' || c == ']') && depth > 0) {
@@ -70,6 +55,17 @@
 
 }  // namespace
 
+std::size_t end_of_json_string(std::string_view text, std::size_t start) {
+    for (std::size_t i = start + 1; i < text.size(); ++i) {
+        if (text[i] == '\\') {
+            ++i;
+        } else if (text[i] == '"') {
+            return i;
+        }
+    }
+    return text.size();
+}
+
 std::vector<json_member_text> split_json_object(std::string_view text) {
     std::vector<json_member_text> members;
     const auto content = content_of(text, '{', '}');
--- a/src/camphorstack/document/json_values.hpp
+++ b/src/camphorstack/document/json_values.hpp
@@ -14,6 +14,10 @@
     friend bool operator==(const json_member_text&, const json_member_text&) = default;
 };
 
+/// Returns the position of the quote that ends the string that starts at `start`; the size of the text if the string does not
+/// end.
+[[nodiscard]] std::size_t end_of_json_string(std::string_view text, std::size_t start);
+
 /// Splits the text of a JSON object into its members. Needs only the brackets and quotes to match, so that a value that cannot be
 /// parsed does not hide the others. Returns nothing for text that is not an object. The results refer to `text`.
 [[nodiscard]] std::vector<json_member_text> split_json_object(std::string_view text);
--- a/src/camphorstack/executors/connection_setup.cpp
+++ b/src/camphorstack/executors/connection_setup.cpp
@@ -33,7 +33,7 @@
                                        !connection.prepared.contains(prepared_name(*request.prepared));
     // A reset would end the transaction. Within a session's transaction its values are only added or changed, so the connection
     // has no other session's values then.
-    const bool in_transaction = request.transaction != 0 && request.start == transaction_start::none;
+    const bool in_transaction = continues_transaction(request);
     if ((has_other_values || has_too_many_prepared) && !in_transaction) {
         statements.push_back({endpoint_command::reset, "", "", "", false, {}});
         connection.values.clear();
--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -118,7 +118,7 @@
         refuse_run(state, endpoint, run, result_code::busy, "this host may not use the endpoint as the primary now");
         return true;
     }
-    if (request.transaction != 0 && request.start == transaction_start::none) {
+    if (continues_transaction(request)) {
         const auto open = state.transactions.find({run.origin, request.transaction});
         if (open == state.transactions.end()) {
             refuse_run(state, endpoint, run, result_code::aborted, "the transaction is no longer open");
@@ -171,8 +171,7 @@
     }
     const auto& lease = endpoint.lease;
     const bool held = lease && lease->round == request.round && now < lease->until;
-    const bool continues = request.transaction != 0 && request.start == transaction_start::none;
-    return held && (!lease->closing || continues);
+    return held && (!lease->closing || continues_transaction(request));
 }
 
 void send_run(executor_state& state, executor_connection& connection, instant now) {
@@ -202,8 +201,7 @@
     // Statements of open transactions go first, since the transactions hold connections. The others follow by priority and in
     // order of arrival.
     std::ranges::stable_sort(endpoint.queue, {}, [](const submitted_run& run) {
-        const bool continues = run.request.transaction != 0 && run.request.start == transaction_start::none;
-        return std::pair(continues ? 0 : 1, run.request.priority);
+        return std::pair(continues_transaction(run.request) ? 0 : 1, run.request.priority);
     });
     auto waiting = std::exchange(endpoint.queue, {});
     std::deque<submitted_run> remaining;
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -349,8 +349,8 @@
                    "this host does not use the endpoint");
         return;
     }
-    const bool continues = run.request.transaction != 0 && run.request.start == transaction_start::none;
-    if (!continues && !is_administrative(run.request.kind) && estimated_wait(state, *endpoint) > run.request.queue_timeout) {
+    if (!continues_transaction(run.request) && !is_administrative(run.request.kind) &&
+        estimated_wait(state, *endpoint) > run.request.queue_timeout) {
         refuse_run(state, *endpoint, run, result_code::busy, "the endpoint's queue is too long");
         return;
     }
--- a/src/camphorstack/executors/run.hpp
+++ b/src/camphorstack/executors/run.hpp
@@ -63,6 +63,11 @@
     lost,     ///< The statement may have run; no answer will arrive.
 };
 
+/// Returns true if the run belongs to a transaction that has begun at the endpoint.
+[[nodiscard]] inline bool continues_transaction(const run_request& request) {
+    return request.transaction != 0 && request.start == transaction_start::none;
+}
+
 struct run_result {
     run_id id = 0;
     run_outcome outcome = run_outcome::lost;
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphorstack/session_host/position_requests.hpp"
 #include "camphorstack/session_host/routing.hpp"
 #include "camphorstack/session_host/run_time_limits.hpp"
 #include "camphorstack/session_host/session_answers.hpp"
@@ -16,8 +17,6 @@
 /// Limit on the runs of one operation; without it, runs that are refused at once would follow each other without end. Allows
 /// three endpoints and a second attempt at one of them through another host.
 constexpr int max_attempts = 4;
-/// Time limit for a primary's answer to a position request.
-constexpr millis position_request_timeout{400};
 
 run_kind kind_of(const caller_session& session, const statement& requested) {
     if (requested.kind == statement_kind::commit) {
@@ -292,12 +291,6 @@
     request_tokens(state, now);
 }
 
-void record_position(session_host_state& state, const database_id& database, const run_result& result, instant sent) {
-    if (result.round != 0 && result.position) {
-        add_sample(state.samples[database], result.round, {sent, *result.position});
-    }
-}
-
 void record_success(caller_session& session, const open_operation& operation, const run_result& result, instant now) {
     const bool wrote = operation.kind == run_kind::commit || (operation.kind == run_kind::write && !session.transaction);
     if (wrote && result.position && operation.target.round != 0) {
@@ -413,38 +406,6 @@
     receive_run_result(state, result, now);
 }
 
-void request_positions(session_host_state& state, instant now) {
-    const auto& settings = state.settings.entry;
-    for (const auto& item : state.sample_needed_at) {
-        const auto& database = item.first;
-        const auto last_needed = item.second;
-        const auto newest = newest_sample(state.samples[database]);
-        const bool is_old = !newest || now - *newest >= settings.sample_refresh_interval;
-        const bool is_requested =
-            std::ranges::any_of(state.position_requests, [&](const auto& request) { return request.second == database; });
-        if (!is_old || is_requested || now - last_needed >= settings.sample_refresh_interval * 4) {
-            continue;
-        }
-        session_access access;
-        access.database = database;
-        const auto target = leader_target(state, access);
-        if (!target || state.catalog.content->workspaces.empty()) {
-            continue;
-        }
-        run_request request;
-        request.id = state.next_call++;
-        request.endpoint = target->endpoint;
-        request.workspace = state.catalog.content->workspaces.front().id;
-        request.kind = run_kind::status;
-        request.round = target->round;
-        request.statement_timeout = position_request_timeout;
-        request.queue_timeout = position_request_timeout;
-        state.position_requests[request.id] = database;
-        state.position_request_times[request.id] = now;
-        start_run(state, target->host, std::move(request), now);
-    }
-}
-
 void end_idle_transactions(session_host_state& state, instant now) {
     const auto limit = state.catalog.content->transaction_idle_limit;
     if (limit <= millis{0}) {
@@ -511,10 +472,7 @@
 }
 
 void receive_run_result(session_host_state& state, const run_result& result, instant now) {
-    if (const auto pending = state.position_requests.find(result.id); pending != state.position_requests.end()) {
-        record_position(state, pending->second, result, state.position_request_times[result.id]);
-        state.position_requests.erase(pending);
-        state.position_request_times.erase(result.id);
+    if (receive_position(state, result)) {
         return;
     }
     auto* session = session_of_run(state, result.id);
@@ -606,13 +564,7 @@
     for (const auto run : late) {
         fail_run(state, run, run_outcome::lost, "the endpoint's owner did not answer in time", now);
     }
-    std::erase_if(state.position_request_times, [&](const auto& item) {
-        const bool over = now - item.second >= position_request_timeout * 3;
-        if (over) {
-            state.position_requests.erase(item.first);
-        }
-        return over;
-    });
+    expire_position_requests(state, now);
     retry_waiting(state, now);
     request_positions(state, now);
     end_idle_transactions(state, now);
--- a/src/camphorstack/session_host/session_entry.cpp
+++ b/src/camphorstack/session_host/session_entry.cpp
@@ -143,8 +143,7 @@
     }
     auto& session = found->second;
     if (session.waiting.size() >= state.settings.entry.max_waiting_statements) {
-        state.actions.emplace_back(close_session{session.id});
-        receive_session_ended(state, {session.id}, now);
+        disconnect_session(state, session.id, now);
         return;
     }
     session.waiting.push_back(event.requested);
@@ -173,6 +172,11 @@
     state.sessions.erase(found);
 }
 
+void disconnect_session(session_host_state& state, session_id id, instant now) {
+    state.actions.emplace_back(close_session{id});
+    receive_session_ended(state, {id}, now);
+}
+
 void close_idle_sessions(session_host_state& state, instant now) {
     std::vector<session_id> idle;
     for (const auto& [id, session] : state.sessions) {
@@ -181,8 +185,7 @@
         }
     }
     for (const auto id : idle) {
-        state.actions.emplace_back(close_session{id});
-        receive_session_ended(state, {id}, now);
+        disconnect_session(state, id, now);
     }
 }
 
--- a/src/camphorstack/session_host/session_entry.hpp
+++ b/src/camphorstack/session_host/session_entry.hpp
@@ -14,6 +14,9 @@
 /// Ends a session and its transaction.
 void receive_session_ended(session_host_state& state, const session_ended& event, instant now);
 
+/// Closes a session's connection and ends the session.
+void disconnect_session(session_host_state& state, session_id id, instant now);
+
 /// Handles the result of a run of one of this host's sessions, or of a position request to a primary.
 void receive_run_result(session_host_state& state, const run_result& result, instant now);
 
--- a/src/camphorstack/session_host/session_host_state.cpp
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -75,6 +75,22 @@
     }
 }
 
+std::optional<run_request> make_administrative_run(session_host_state& state, const endpoint_id& endpoint, run_kind kind,
+                                                   millis timeout) {
+    const auto& workspaces = state.catalog.content->workspaces;
+    if (workspaces.empty()) {
+        return std::nullopt;
+    }
+    run_request request;
+    request.id = state.next_call++;
+    request.endpoint = endpoint;
+    request.workspace = workspaces.front().id;
+    request.kind = kind;
+    request.statement_timeout = timeout;
+    request.queue_timeout = timeout;
+    return request;
+}
+
 host_id executor_host(const session_host_state& state, const endpoint_id& endpoint) {
     const auto find = [&](const std::map<endpoint_id, host_id>& hosts) {
         const auto found = hosts.find(endpoint);
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -121,6 +121,11 @@
 /// Submits a run to the executor of this host or of another host.
 void start_run(session_host_state& state, const host_id& host, run_request request, instant now);
 
+/// Returns a run that carries no statement of a caller. Returns nothing without a document that names a workspace, as connections
+/// to endpoints belong to one.
+[[nodiscard]] std::optional<run_request> make_administrative_run(session_host_state& state, const endpoint_id& endpoint,
+                                                                 run_kind kind, millis timeout);
+
 /// Returns the endpoint's owner, or its substitute if this host cannot reach the owner.
 [[nodiscard]] host_id executor_host(const session_host_state& state, const endpoint_id& endpoint);
 
--- a/src/camphorstack/session_host/shutdown.cpp
+++ b/src/camphorstack/session_host/shutdown.cpp
@@ -41,8 +41,7 @@
 void end_sessions(session_host_state& state, instant now) {
     for (const auto id : ids_of(state.sessions)) {
         fail_session_statements(state, state.sessions.at(id), "this host is shutting down", now);
-        state.actions.emplace_back(close_session{id});
-        receive_session_ended(state, {id}, now);
+        disconnect_session(state, id, now);
     }
 }
 
@@ -91,7 +90,7 @@
         submit_run(state.executor, origin, request, now);
         return;
     }
-    const bool continues = request.transaction != 0 && request.start == transaction_start::none;
+    const bool continues = continues_transaction(request);
     if (continues) {
         end_transaction(state.executor, {origin, request.transaction}, now);
     }
