--- a/tests/executors/executor.tests.cpp
+++ b/tests/executors/executor.tests.cpp
@@ -238,53 +238,48 @@
         }
         return ids;
     };
+    const auto refuse_opened = [&] {
+        for (const auto id : opened()) {
+            on_connection_ended(fixture.state, {id, result_code::none, true}, fixture.now);
+        }
+    };
+    const auto wait = [&](millis span) {
+        fixture.now = fixture.now + span;
+        executor_tick(fixture.state, fixture.now);
+    };
     SECTION("refused connections") {
         submit_run(fixture.state, "self", fixture.request(run_kind::read), fixture.now);
         for (int i = 0; i < 3; ++i) {
-            for (const auto id : opened()) {
-                on_connection_ended(fixture.state, {id, result_code::none, true}, fixture.now);
-            }
-            fixture.now = fixture.now + millis{60};
-            executor_tick(fixture.state, fixture.now);
+            refuse_opened();
+            wait(millis{60});
         }
         CHECK(suspected());
-        for (const auto id : opened()) {
-            on_connection_ended(fixture.state, {id, result_code::none, true}, fixture.now);
-        }
-        fixture.now = fixture.now + millis{500};
-        executor_tick(fixture.state, fixture.now);
+        refuse_opened();
+        wait(millis{500});
         CHECK(suspected());
-        fixture.now = fixture.now + millis{1000};
-        executor_tick(fixture.state, fixture.now);
+        wait(millis{1000});
         CHECK_FALSE(suspected());
         // A single refusal after that is no suspicion.
         submit_run(fixture.state, "self", fixture.request(run_kind::read), fixture.now);
-        for (const auto id : opened()) {
-            on_connection_ended(fixture.state, {id, result_code::none, true}, fixture.now);
-        }
+        refuse_opened();
         CHECK_FALSE(suspected());
     }
     SECTION("statements without an answer") {
         submit_run(fixture.state, "self", fixture.request(run_kind::read), fixture.now);
         static_cast<void>(fixture.open_connections());
-        fixture.now = fixture.now + millis{700};
-        executor_tick(fixture.state, fixture.now);
+        wait(millis{700});
         CHECK(suspected());
-        fixture.now = fixture.now + millis{150};
-        executor_tick(fixture.state, fixture.now);
+        wait(millis{150});
         CHECK(suspected());
-        fixture.now = fixture.now + millis{1100};
-        executor_tick(fixture.state, fixture.now);
+        wait(millis{1100});
         CHECK_FALSE(suspected());
     }
     SECTION("connections that do not open") {
         submit_run(fixture.state, "self", fixture.request(run_kind::read), fixture.now);
         REQUIRE_FALSE(opened().empty());
-        fixture.now = fixture.now + millis{1050};
-        executor_tick(fixture.state, fixture.now);
+        wait(millis{1050});
         CHECK(suspected());
-        fixture.now = fixture.now + millis{1100};
-        executor_tick(fixture.state, fixture.now);
+        wait(millis{1100});
         CHECK_FALSE(suspected());
     }
 }
--- a/tests/session_fleet/database_model.cpp
+++ b/tests/session_fleet/database_model.cpp
@@ -51,6 +51,12 @@
 
 }  // namespace
 
+bool holds_write(const instance_model& instance, const std::string& statement_id) {
+    return std::ranges::any_of(instance.log, [&](const log_entry& entry) {
+        return std::ranges::find(entry.statement_ids, statement_id) != entry.statement_ids.end();
+    });
+}
+
 database_model::database_model(database_id name, const std::vector<data_centre_id>& locations) : id(std::move(name)) {
     for (std::size_t i = 0; i < locations.size(); ++i) {
         instance_model instance;
--- a/tests/session_fleet/database_model.hpp
+++ b/tests/session_fleet/database_model.hpp
@@ -56,6 +56,9 @@
     std::map<connection_id, instance_connection> connections;
 };
 
+/// Returns true if the instance's log has a write of the statement.
+[[nodiscard]] bool holds_write(const instance_model& instance, const std::string& statement_id);
+
 /// Model of a replicated database that commits at its primary. `replicate` and `promote` are called from outside.
 class database_model {
 public:
--- a/tests/session_fleet/failures.tests.cpp
+++ b/tests/session_fleet/failures.tests.cpp
@@ -39,15 +39,6 @@
     return fleet.host(observer).catalog.coordinator->record.host.id;
 }
 
-bool holds_write(const instance_model& instance, const std::string& statement_id) {
-    for (const auto& entry : instance.log) {
-        if (std::ranges::find(entry.statement_ids, statement_id) != entry.statement_ids.end()) {
-            return true;
-        }
-    }
-    return false;
-}
-
 }  // namespace
 
 TEST_CASE("a crashed primary is replaced, and writes go on within two seconds", "[session-fleet][failover]") {
@@ -425,9 +416,7 @@
     fleet.run_for(start_time);
     REQUIRE(time_to_write(fleet, "host-6", "before", millis{1000}) < millis{200});
     fleet.lagging = {"db0-0"};
-    for (int i = 0; i < 7; ++i) {
-        fleet.cut("host-" + std::to_string(i), "db0-0");
-    }
+    fleet.cut_from_hosts("db0-0");
     REQUIRE(time_to_write(fleet, "host-6", "second", millis{9000}) < millis{9000});
     const auto second = leader_of(fleet, "host-4", "db0").endpoint;
     REQUIRE(second != "db0-0");
--- a/tests/session_fleet/leader_stability.tests.cpp
+++ b/tests/session_fleet/leader_stability.tests.cpp
@@ -105,9 +105,7 @@
         REQUIRE(fleet.ask(writer, write_statement("dropped" + std::to_string(i), "item", "x")).code == result_code::none);
     }
     fleet.lagging = {"db0-0"};
-    for (int i = 0; i < 7; ++i) {
-        fleet.cut("host-" + std::to_string(i), "db0-0");
-    }
+    fleet.cut_from_hosts("db0-0");
     fleet.send(writer, write_statement("unanswered", "item", "x"));
     REQUIRE(fleet.run_until([&] { return fleet.database(0).primary().entry.id != "db0-0"; }, millis{8000}));
     const auto second = fleet.database(0).primary().entry.id;
@@ -134,9 +132,7 @@
     fleet.lagging = {"db0-0"};
     const auto writer = fleet.connect("host-3", session_fleet::route_name(0, consistency::primary), "key-0");
     fleet.run_for(millis{20});
-    for (int i = 0; i < 7; ++i) {
-        fleet.cut("host-" + std::to_string(i), "db0-0");
-    }
+    fleet.cut_from_hosts("db0-0");
     fleet.send(writer, write_statement("unanswered", "item", "x"));
     REQUIRE(fleet.run_until([&] { return fleet.database(0).primary().entry.id != "db0-0"; }, millis{12000}));
     const auto second = fleet.database(0).primary().entry.id;
@@ -147,9 +143,7 @@
         auto& coordination = fleet.host("host-" + std::to_string(i)).coordination;
         coordination.leaders_kept_at[second] = fleet.now();
     }
-    for (int i = 0; i < 7; ++i) {
-        fleet.cut("host-" + std::to_string(i), second);
-    }
+    fleet.cut_from_hosts(second);
     fleet.send(fleet.connect("host-4", session_fleet::route_name(0, consistency::primary), "key-0"),
                write_statement("unanswered", "item", "x"));
     fleet.run_for(millis{900});
--- a/tests/session_fleet/session_fleet.cpp
+++ b/tests/session_fleet/session_fleet.cpp
@@ -188,6 +188,12 @@
     this->cut(node, "platform");
 }
 
+void session_fleet::cut_from_hosts(const endpoint_id& endpoint) {
+    for (const auto& [id, host] : this->hosts) {
+        this->cut(id, endpoint);
+    }
+}
+
 void session_fleet::heal() {
     this->cuts.clear();
 }
@@ -297,6 +303,12 @@
     return id;
 }
 
+session_id session_fleet::open_session(const host_id& host, consistency kind, std::size_t workspace) {
+    const auto session = this->connect(host, session_fleet::route_name(0, kind), session_fleet::key_of(workspace));
+    REQUIRE(this->run_until([&] { return this->callers.at(session).accepted; }, millis{500}));
+    return session;
+}
+
 void session_fleet::send(session_id session, statement requested) {
     auto& from = this->callers.at(session);
     from.asked[requested.id] = this->time;
--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -70,6 +70,8 @@
 
     /// Requests a session. `caller(id).accepted` is true once the host has accepted it.
     session_id connect(const host_id& host, const std::string& database, const std::string& key);
+    /// Opens a session on a route to the first database. Fails the test if the host does not accept it.
+    session_id open_session(const host_id& host, consistency kind, std::size_t workspace = 0);
     void send(session_id session, statement requested);
     /// Sends a statement and runs until it is answered. Fails the test if there is no answer within `limit`.
     answer_statement ask(session_id session, statement requested, millis limit = millis{5000});
@@ -82,8 +84,9 @@
     /// Cuts the network between two nodes: messages are lost, and calls fail or get no answer. "store" and "platform" name the
     /// store and the promotion service.
     void cut(const std::string& a, const std::string& b);
-    void isolate(const std::string& node);  ///< Cuts a node off from everything but its callers.
-    void heal();                            ///< Removes all cuts.
+    void isolate(const std::string& node);             ///< Cuts a node off from everything but its callers.
+    void cut_from_hosts(const endpoint_id& endpoint);  ///< Cuts an instance off from all hosts.
+    void heal();                                       ///< Removes all cuts.
     [[nodiscard]] bool is_cut(const std::string& a, const std::string& b) const;
 
     [[nodiscard]] session_host_state& host(const host_id& id) { return *this->hosts.at(id).state; }
--- a/tests/session_fleet/sessions.tests.cpp
+++ b/tests/session_fleet/sessions.tests.cpp
@@ -33,12 +33,6 @@
     return requested;
 }
 
-session_id open_session(session_fleet& fleet, const host_id& host, consistency kind, std::size_t workspace = 0) {
-    const auto session = fleet.connect(host, session_fleet::route_name(0, kind), session_fleet::key_of(workspace));
-    REQUIRE(fleet.run_until([&] { return fleet.caller(session).accepted; }, millis{500}));
-    return session;
-}
-
 }  // namespace
 
 TEST_CASE("a fleet whose hosts start at the same time serves writes and reads on every route", "[session-fleet][start]") {
@@ -63,7 +57,7 @@
     session_fleet fleet;
     fleet.run_for(start_time);
     fleet.lagging = {"db0-1", "db0-2"};
-    const auto session = open_session(fleet, "host-3", consistency::read_your_writes);
+    const auto session = fleet.open_session("host-3", consistency::read_your_writes);
     for (int i = 0; i < 20; ++i) {
         const auto value = "v" + std::to_string(i);
         REQUIRE(fleet.ask(session, write_statement("w" + value, "item", value)).code == result_code::none);
@@ -80,9 +74,9 @@
     session_fleet fleet;
     fleet.run_for(start_time);
     fleet.lagging = {"db0-1", "db0-2"};
-    const auto writer = open_session(fleet, "host-0", consistency::primary);
-    const auto exact = open_session(fleet, "host-6", consistency::primary);
-    const auto bounded = open_session(fleet, "host-6", consistency::bounded_staleness);
+    const auto writer = fleet.open_session("host-0", consistency::primary);
+    const auto exact = fleet.open_session("host-6", consistency::primary);
+    const auto bounded = fleet.open_session("host-6", consistency::bounded_staleness);
     for (int i = 0; i < 10; ++i) {
         const auto value = "v" + std::to_string(i);
         REQUIRE(fleet.ask(writer, write_statement("w" + value, "item", value)).code == result_code::none);
@@ -95,7 +89,7 @@
 TEST_CASE("reads are served by replicas while replication keeps up", "[session-fleet][replicas]") {
     session_fleet fleet;
     fleet.run_for(start_time);
-    const auto session = open_session(fleet, "host-5", consistency::bounded_staleness);
+    const auto session = fleet.open_session("host-5", consistency::bounded_staleness);
     fleet.ask(session, read_statement("first", "item"));
     fleet.run_for(millis{700});
     fleet.database(0).runs.clear();
@@ -110,8 +104,8 @@
 TEST_CASE("a transaction runs on one connection and takes effect once or not at all", "[session-fleet][transactions]") {
     session_fleet fleet;
     fleet.run_for(start_time);
-    const auto session = open_session(fleet, "host-4", consistency::primary);
-    const auto other = open_session(fleet, "host-4", consistency::primary, 1);
+    const auto session = fleet.open_session("host-4", consistency::primary);
+    const auto other = fleet.open_session("host-4", consistency::primary, 1);
     const auto begin = plain_statement("b", statement_kind::begin, "BEGIN");
     SECTION("commit") {
         CHECK(fleet.ask(session, begin).state == session_state::in_transaction);
@@ -158,7 +152,7 @@
     fleet.run_for(start_time);
     const bool read_only = GENERATE(true, false);
     const bool lost_before = GENERATE(true, false);
-    const auto session = open_session(fleet, "host-5", consistency::bounded_staleness);
+    const auto session = fleet.open_session("host-5", consistency::bounded_staleness);
     fleet.ask(session, read_statement("first", "item"));
     fleet.run_for(millis{700});
     fleet.ask(session, plain_statement("b", read_only ? statement_kind::begin_read_only : statement_kind::begin, ""));
@@ -185,8 +179,8 @@
     // Guards against session values that apply to another session's statements on the same connection.
     session_fleet fleet;
     fleet.run_for(start_time);
-    const auto first = open_session(fleet, "host-0", consistency::primary);
-    const auto second = open_session(fleet, "host-0", consistency::primary);
+    const auto first = fleet.open_session("host-0", consistency::primary);
+    const auto second = fleet.open_session("host-0", consistency::primary);
     CHECK(fleet.ask(first, set_statement("s1", "zone", "north")).code == result_code::none);
     CHECK(fleet.ask(first, prepare_statement("p1", "q", "write-shape", true)).code == result_code::none);
     CHECK(fleet.ask(second, prepare_statement("p2", "q", "read-shape", false)).code == result_code::none);
@@ -228,8 +222,8 @@
     // Guards against a host without the store that keeps using an old document, which still contains the key.
     session_fleet fleet;
     fleet.run_for(start_time);
-    const auto near = open_session(fleet, "host-0", consistency::primary, 3);
-    const auto cut_off = open_session(fleet, "host-1", consistency::bounded_staleness, 3);
+    const auto near = fleet.open_session("host-0", consistency::primary, 3);
+    const auto cut_off = fleet.open_session("host-1", consistency::bounded_staleness, 3);
     fleet.ask(near, plain_statement("b", statement_kind::begin, "BEGIN"));
     REQUIRE(fleet.ask(near, read_statement("r0", "item")).code == result_code::none);
     REQUIRE(fleet.ask(cut_off, read_statement("r1", "item")).code == result_code::none);
@@ -255,7 +249,7 @@
     fleet.run_for(start_time);
     std::vector<session_id> sessions;
     for (int i = 0; i < 80; ++i) {
-        sessions.push_back(open_session(fleet, "host-" + std::to_string(i % 3), consistency::primary));
+        sessions.push_back(fleet.open_session("host-" + std::to_string(i % 3), consistency::primary));
     }
     for (std::size_t i = 0; i < sessions.size(); ++i) {
         fleet.send(sessions[i], read_statement("r" + std::to_string(i), "item"));
--- a/tests/session_fleet/shutdown.tests.cpp
+++ b/tests/session_fleet/shutdown.tests.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <set>
 
 #include "session_fleet/session_fleet.hpp"
 
@@ -50,39 +49,23 @@
     ++item.sent;
 }
 
-/// Returns the ids of the statements whose effects the database keeps.
-std::set<std::string> kept_statements(session_fleet& fleet) {
-    std::set<std::string> kept;
-    for (const auto& entry : fleet.database(0).primary().log) {
-        kept.insert(entry.statement_ids.begin(), entry.statement_ids.end());
-    }
-    return kept;
-}
-
 bool is_promise_of_no_effect(result_code code) {
     return code == result_code::busy || code == result_code::aborted || code == result_code::read_only;
 }
 
 /// Checks that each statement has an answer, and that the answers agree with what the database keeps.
 void check_answers(session_fleet& fleet, session_id session) {
-    const auto kept = kept_statements(fleet);
     const auto& caller = fleet.caller(session);
     CAPTURE(session, caller.order);
     CHECK(caller.order.empty());
     for (const auto& received : caller.answers) {
         CAPTURE(received.statement_id, received.answer.text);
         if (is_promise_of_no_effect(received.answer.code)) {
-            CHECK_FALSE(kept.contains(received.statement_id));
+            CHECK_FALSE(holds_write(fleet.database(0).primary(), received.statement_id));
         }
     }
 }
 
-session_id open_session(session_fleet& fleet, const host_id& host, consistency kind) {
-    const auto session = fleet.connect(host, session_fleet::route_name(0, kind), "key-0");
-    REQUIRE(fleet.run_until([&] { return fleet.caller(session).accepted; }, millis{500}));
-    return session;
-}
-
 }  // namespace
 
 // Guards against a host that ends its process while statements of open transactions are in flight, so that their callers get no
@@ -98,7 +81,7 @@
         const auto kind = i % 2 == 0 ? consistency::read_your_writes : consistency::primary;
         // The transactions begin between a seventh and a quarter of the grace period and last three quarters of it.
         const auto begins = stop_grace / 7 + stop_grace * i / 280;
-        items.push_back({open_session(fleet, host, kind), "t" + std::to_string(i), fleet.now() + begins, stop_grace / 16});
+        items.push_back({fleet.open_session(host, kind), "t" + std::to_string(i), fleet.now() + begins, stop_grace / 16});
     }
     CAPTURE(stop_grace.count, service_time.count, host);
     fleet.stop_host(host);
@@ -123,7 +106,7 @@
           "[session-fleet][stop]") {
     session_fleet fleet;
     fleet.run_for(start_time);
-    paced_transaction item{open_session(fleet, "host-3", consistency::primary), "t", fleet.now(), millis{200}};
+    paced_transaction item{fleet.open_session("host-3", consistency::primary), "t", fleet.now(), millis{200}};
     fleet.stop_host("host-3");
     const auto stopped = fleet.now();
     while (fleet.now() - stopped < millis{4000}) {
@@ -145,9 +128,9 @@
         // The endpoints are slow, not suspected.
         fleet.host("host-" + std::to_string(i)).executor.settings.silence_limit = millis{60000};
     }
-    const auto writer = open_session(fleet, "host-3", consistency::primary);
-    const auto reader = open_session(fleet, "host-3", consistency::bounded_staleness);
-    const auto transaction = open_session(fleet, "host-3", consistency::primary);
+    const auto writer = fleet.open_session("host-3", consistency::primary);
+    const auto reader = fleet.open_session("host-3", consistency::bounded_staleness);
+    const auto transaction = fleet.open_session("host-3", consistency::primary);
     fleet.send(writer, write_statement("w", "item", "x"));
     fleet.send(writer, write_statement("behind", "item", "y"));
     fleet.send(reader, read_statement("r", "item"));
@@ -182,7 +165,7 @@
     std::vector<paced_transaction> items;
     for (int i = 0; i < 40; ++i) {
         items.push_back(
-            {open_session(fleet, entry, consistency::primary), "t" + std::to_string(i), fleet.now(), millis{450 + i * 2}});
+            {fleet.open_session(entry, consistency::primary), "t" + std::to_string(i), fleet.now(), millis{450 + i * 2}});
     }
     const auto run_until_time = [&](instant end) {
         while (fleet.now() < end) {
--- a/tests/session_fleet/synchronous_replicas.tests.cpp
+++ b/tests/session_fleet/synchronous_replicas.tests.cpp
@@ -26,11 +26,7 @@
 }
 
 bool has_all(const instance_model& instance, const std::vector<std::string>& ids) {
-    return std::ranges::all_of(ids, [&](const std::string& id) {
-        return std::ranges::any_of(instance.log, [&](const log_entry& entry) {
-            return std::ranges::find(entry.statement_ids, id) != entry.statement_ids.end();
-        });
-    });
+    return std::ranges::all_of(ids, [&](const std::string& id) { return holds_write(instance, id); });
 }
 
 /// Returns true if every endpoint that was promoted had all the statements when its promotion was requested.
@@ -74,9 +70,7 @@
     REQUIRE(acknowledged.size() == 5);
     fleet.run_for(millis{10});
     if (loss == "cut off") {
-        for (int i = 0; i < 7; ++i) {
-            fleet.cut("host-" + std::to_string(i), "db0-0");
-        }
+        fleet.cut_from_hosts("db0-0");
         fleet.lagging.insert("db0-0");
         // The primary is suspected once a statement gets no answer.
         const auto session = fleet.connect("host-4", session_fleet::route_name(0, consistency::primary), "key-1");
@@ -110,9 +104,7 @@
     fleet.lagging = {"db0-1"};
     const auto acknowledged = write_some(fleet, "w", 5);
     fleet.run_for(millis{10});
-    for (int i = 0; i < 7; ++i) {
-        fleet.cut("host-" + std::to_string(i), "db0-2");
-    }
+    fleet.cut_from_hosts("db0-2");
     fleet.kill_instance("db0-0");
     fleet.run_for(millis{5000});
     CHECK(fleet.promotions.empty());
