Let the burst of a rate decide how many hosts hold shares of it

Cause: six hosts held equal shares of every rate. The platform's bursts are the rate of one second, and most of 140 workspaces have a rate below 12 a second, so a holder's bucket had room for less than two tokens, and below a burst of 6 for less than one: no token was ever granted there.

Ruled out: messages between hosts (a holder with tokens answers in a round trip), processor time (a host is at 1.3% of a core).

Change: - a share has a burst of at least 6 operations, so small workspaces have one or two holders (holder_count); a burst of 1 keeps one whole token; - members that are unreachable or shut down hold no shares, instead of leaving them idle for 12 s; in a fleet in which all hosts hold shares, one that claims its interval keeps its own; - when holders change, a former holder spends on for 600 ms while its successor's share does not count yet, and is asked last; - a holder without recent evidence grants nothing.

--- a/src/camphorstack/contracts/rate_limit_share.cpp
+++ b/src/camphorstack/contracts/rate_limit_share.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <optional>
 
 namespace camphorstack {
 
@@ -11,10 +12,17 @@
 constexpr std::int64_t milliseconds_per_second = 1000;
 
 millitokens own_part(const rate_limit_share& share, millitokens amount, instant at) {
-    std::size_t divisor = share.divisor;
+    const auto smaller = [](std::size_t a, std::size_t b) { return a == 0 || b == 0 ? 0 : std::max(a, b); };
+    std::optional<std::size_t> retained;
+    for (const auto& earlier : share.former_shares) {
+        if (at < earlier.retained_until) {
+            retained = smaller(retained.value_or(earlier.divisor), earlier.divisor);
+        }
+    }
+    std::size_t divisor = retained.value_or(share.divisor);
     for (const auto& earlier : share.former_shares) {
         if (at < earlier.until) {
-            divisor = earlier.divisor == 0 || divisor == 0 ? 0 : std::max(divisor, earlier.divisor);
+            divisor = smaller(divisor, earlier.divisor);
         }
     }
     return divisor == 0 ? 0 : amount / static_cast<millitokens>(divisor);
@@ -48,6 +56,9 @@
     consider(share.borrowed);
     consider(share.lent);
     consider(share.former_shares);
+    for (const auto& earlier : share.former_shares) {
+        next = share.updated < earlier.retained_until ? std::min(next, earlier.retained_until) : next;
+    }
     return next;
 }
 
@@ -56,9 +67,9 @@
 millitokens own_burst(const rate_limit_share& share, instant at) {
     const auto part = own_part(share, share.burst, at);
     // The clock counts whole milliseconds, so a bucket may accrue up to one millisecond's tokens early. The burst is reduced by
-    // that amount, but by at most a tenth.
+    // that amount, but by at most a tenth, and not below one request: no request would ever be admitted.
     const auto resolution = own_part(share, share.rate_per_s, at) / milliseconds_per_second;
-    return part - std::min(resolution, part / 10);
+    return std::max(part - std::min(resolution, part / 10), std::min(part, request_cost));
 }
 
 millitokens own_rate(const rate_limit_share& share, instant at) {
--- a/src/camphorstack/contracts/rate_limit_share.hpp
+++ b/src/camphorstack/contracts/rate_limit_share.hpp
@@ -43,6 +43,7 @@
 struct former_share {
     std::size_t divisor = 0;  ///< Number of equal shares of the rate limit; 0 if this host had no share.
     instant until;
+    instant retained_until;  ///< Until then the host still uses this share although it is no longer a holder.
 
     friend bool operator==(const former_share&, const former_share&) = default;
 };
--- a/src/camphorstack/contracts/remote_tokens.cpp
+++ b/src/camphorstack/contracts/remote_tokens.cpp
@@ -102,8 +102,12 @@
     return requests;
 }
 
+token_grant deny_tokens(const token_request& request) {
+    return {request.sequence, request.workspace, 0, max_backoff};
+}
+
 token_grant grant_tokens(share_state& state, const token_request& request, instant now) {
-    token_grant grant{request.sequence, request.workspace, 0, max_backoff};
+    auto grant = deny_tokens(request);
     const auto found = state.rate_limits.find(request.workspace);
     if (found == state.rate_limits.end()) {
         return grant;
--- a/src/camphorstack/contracts/shares.cpp
+++ b/src/camphorstack/contracts/shares.cpp
@@ -1,6 +1,7 @@
 #include "camphorstack/contracts/shares.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 #include "camphorstack/hosts/owners.hpp"
@@ -35,17 +36,45 @@
 }
 
 void choose_holders(const share_state& state, const workspace_id& id, rate_limit_share& share) {
-    share.holders = choose_share_holders(state.members, id, state.settings.max_holders, state.settings.all_hold_up_to);
+    const auto former = share.holders;
+    const auto& hosts = state.members.hosts;
+    share.holders = choose_share_holders(state.members, id, holder_count(state.settings, share.burst, hosts.size()));
     const bool holds = std::ranges::binary_search(share.holders, state.self);
     share.divisor = holds ? share.holders.size() : 0;
     std::erase_if(share.lenders, [&share](const auto& entry) { return !std::ranges::binary_search(share.holders, entry.first); });
     share.remote.holders = order_holders(state, share.holders);
-    std::erase_if(share.remote.backoffs,
-                  [&share](const auto& entry) { return !std::ranges::binary_search(share.holders, entry.first); });
+    if (state.settings.retained_share > millis{0}) {
+        // Former holders still grant tokens while the new ones have no share yet. They are asked last.
+        std::vector<host_id> retained;
+        std::ranges::set_difference(former, share.holders, std::back_inserter(retained));
+        std::ranges::copy(order_holders(state, retained), std::back_inserter(share.remote.holders));
+    }
+    std::erase_if(share.remote.backoffs, [&share](const auto& entry) {
+        return std::ranges::find(share.remote.holders, entry.first) == share.remote.holders.end();
+    });
+}
+
+/// Chooses the holders anew. For `changeover` the smaller of the old and the new share applies.
+void replace_holders(const share_state& state, const workspace_id& id, rate_limit_share& share, former_share former,
+                     instant now) {
+    choose_holders(state, id, share);
+    const bool lost_share = share.divisor == 0 && former.divisor != 0;
+    former.retained_until = lost_share ? now + state.settings.retained_share : instant{};
+    share.former_shares.push_back(former);
+    update_bounds(share);
 }
 
 }  // namespace
 
+std::size_t holder_count(const share_settings& settings, millitokens burst, std::size_t host_count) {
+    const auto most = host_count <= settings.all_hold_up_to ? host_count : std::min(settings.max_holders, host_count);
+    if (settings.min_holder_burst <= 0) {
+        return most;
+    }
+    const auto whole_shares = std::max<millitokens>(1, burst / (settings.min_holder_burst * request_cost));
+    return std::min(most, static_cast<std::size_t>(whole_shares));
+}
+
 void update_rate_limits(share_state& state, const document& content, instant now) {
     if (content.version <= state.version && state.version != 0) {
         return;
@@ -57,13 +86,15 @@
         auto& share = entry->second;
         if (added) {
             share.updated = now;
-            share.former_shares.push_back({0, now + state.settings.share_delay});
-            choose_holders(state, item.id, share);
-            update_bounds(share);
         }
         accrue(share, now);
         share.rate_per_s = item.rate_per_s * request_cost;
         share.burst = item.burst * request_cost;
+        if (added) {
+            replace_holders(state, item.id, share, {0, now + state.settings.share_delay, {}}, now);
+        } else if (holder_count(state.settings, share.burst, state.members.hosts.size()) != share.holders.size()) {
+            replace_holders(state, item.id, share, {share.divisor, now + state.settings.changeover, {}}, now);
+        }
         update_bounds(share);
     }
 }
@@ -76,10 +107,9 @@
     state.members = members;
     for (auto& [id, share] : state.rate_limits) {
         accrue(share, now);
-        share.former_shares.push_back(
-            {successive ? share.divisor : 0, now + (successive ? state.settings.changeover : state.settings.share_delay)});
-        choose_holders(state, id, share);
-        update_bounds(share);
+        const former_share former{
+            successive ? share.divisor : 0, now + (successive ? state.settings.changeover : state.settings.share_delay), {}};
+        replace_holders(state, id, share, former, now);
     }
 }
 
--- a/src/camphorstack/contracts/shares.hpp
+++ b/src/camphorstack/contracts/shares.hpp
@@ -22,6 +22,12 @@
     std::size_t all_hold_up_to = 16;  ///< In a fleet of at most this many hosts, each is a holder of every workspace.
     /// A host that knows no earlier member list, or skipped one, has no share for this long.
     millis share_delay{4000};
+    /// Smallest burst of one holder's share, in operations. A workspace with a smaller burst has fewer holders, so that each of
+    /// them can save up whole tokens. 0: the burst does not limit the number of holders.
+    std::int64_t min_holder_burst = 0;
+    /// For this long after a host has learned that it is no longer a holder, it still spends from its former share. Shorter than
+    /// `changeover` by at least the time in which all hosts learn of a member list or a rate limit.
+    millis retained_share{0};
 
     friend bool operator==(const share_settings&, const share_settings&) = default;
 };
@@ -44,8 +50,11 @@
     std::uint64_t next_sequence = 0;  ///< Of loan and token requests. Starts at random, so that a restarted process reuses none.
 };
 
-/// Adopts the rates and bursts of a newer document. A changed rate limit applies at once. A new one starts without tokens, and
-/// without a share for `share_delay`.
+/// Returns the number of hosts that hold a share of a rate limit with this burst, in a fleet of `host_count` hosts.
+[[nodiscard]] std::size_t holder_count(const share_settings& settings, millitokens burst, std::size_t host_count);
+
+/// Adopts the rates and bursts of a newer document. A changed rate limit applies at once, and for `changeover` with the smaller
+/// share if its number of holders changes. A new one starts without tokens, and without a share for `share_delay`.
 void update_rate_limits(share_state& state, const document& content, instant now);
 
 /// Adopts a newer agreed member list; an older epoch is ignored. After the first list, and when epochs were skipped, this host
@@ -72,6 +81,9 @@
 /// Spends this host's tokens for operations that wait at another host, and returns the grant, which may be of 0 operations.
 token_grant grant_tokens(share_state& state, const token_request& request, instant now);
 
+/// Returns the answer to a token request that spends nothing.
+[[nodiscard]] token_grant deny_tokens(const token_request& request);
+
 /// Credits a token grant. A grant that answers no pending request, or that arrives too late, is ignored.
 void receive_token_grant(share_state& state, const host_id& holder, const token_grant& grant, instant now);
 
--- a/src/camphorstack/hosts/owners.cpp
+++ b/src/camphorstack/hosts/owners.cpp
@@ -86,11 +86,10 @@
     return choose_hosts(members.hosts, "watchers", watcher_count);
 }
 
-std::vector<host_id> choose_share_holders(const member_list& members, const workspace_id& id, std::size_t max_holders,
-                                          std::size_t all_hold_up_to) {
+std::vector<host_id> choose_share_holders(const member_list& members, const workspace_id& id, std::size_t count) {
     const auto name = "shares/" + id;
     const auto& hosts = members.hosts;
-    if (hosts.size() <= all_hold_up_to) {
+    if (hosts.size() <= count) {
         return choose_hosts(hosts, name, hosts.size());
     }
     std::map<data_centre_id, std::pair<double, host_id>> best;
@@ -103,8 +102,8 @@
     for (const auto& host : hosts) {
         (best.at(host.location).second == host.id ? first : rest).push_back(host);
     }
-    auto holders = choose_hosts(first, name, max_holders);
-    std::ranges::copy(choose_hosts(rest, name, max_holders - holders.size()), std::back_inserter(holders));
+    auto holders = choose_hosts(first, name, count);
+    std::ranges::copy(choose_hosts(rest, name, count - holders.size()), std::back_inserter(holders));
     std::ranges::sort(holders);
     return holders;
 }
--- a/src/camphorstack/hosts/owners.hpp
+++ b/src/camphorstack/hosts/owners.hpp
@@ -32,9 +32,8 @@
 /// Chooses the watchers of the platform by rendezvous hashing over the agreed member list. Sorted by id.
 [[nodiscard]] std::vector<host_id> choose_watchers(const member_list& members);
 
-/// Chooses the hosts that hold a share of a workspace's rate limit: all members if there are at most `all_hold_up_to`, else
-/// `max_holders` of them from as many data centres as possible. Sorted by id.
-[[nodiscard]] std::vector<host_id> choose_share_holders(const member_list& members, const workspace_id& id,
-                                                        std::size_t max_holders, std::size_t all_hold_up_to);
+/// Chooses `count` hosts, or all if there are fewer, that hold a share of a workspace's rate limit, from as many data centres as
+/// possible. Sorted by id.
+[[nodiscard]] std::vector<host_id> choose_share_holders(const member_list& members, const workspace_id& id, std::size_t count);
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -5,6 +5,7 @@
 
 #include "camphorstack/contracts/shares.hpp"
 #include "camphorstack/session_host/endpoint_owners.hpp"
+#include "camphorstack/session_host/share_members.hpp"
 #include "camphorstack/support/errors.hpp"
 
 namespace camphorstack {
@@ -94,7 +95,6 @@
             interval = {host.interval, now};
         }
     }
-    const bool new_epoch = !known || known->record.list.epoch != record.list.epoch;
     known = stored_record<members_record>{record, revision};
     std::string names;
     for (const auto& host : record.list.hosts) {
@@ -103,9 +103,7 @@
     log_decision(state, "members_adopted",
                  "epoch=" + std::to_string(record.list.epoch) + " hosts=" + names +
                      " unreachable=" + std::to_string(record.unreachable.size()));
-    if (new_epoch) {
-        update_share_holders(state.shares, record.list, now);
-    }
+    update_share_members(state, now);
     update_endpoint_shares(state, now);
 }
 
@@ -129,6 +127,7 @@
     }
     known = {record, revision};
     log_decision(state, "absence_claimed", "host=" + record.host + " absence=" + std::to_string(record.interval));
+    update_share_members(state, now);
     update_leader_leases(state, now);
 }
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -8,6 +8,7 @@
 #include "camphorstack/session_host/catalog_updates.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
 #include "camphorstack/session_host/session_host_state.hpp"
+#include "camphorstack/session_host/share_members.hpp"
 #include "camphorstack/session_host/shutdown.hpp"
 
 namespace camphorstack {
@@ -67,6 +68,7 @@
     coordinator_role_tick(state, now);
     probe_broken_links(state, now);
     claim_tick(state, now);
+    share_members_tick(state, now);
     member_list_tick(state, now);
     closing_tick(state, now);
     leader_changes_tick(state, now);
@@ -161,7 +163,10 @@
         retry_waiting(this->state, this->now);
     }
     void operator()(const token_request& request) const {
-        send_peer(this->state, this->from, grant_tokens(this->state.shares, request, this->now));
+        // Without recent evidence this host does not know whether it still is a holder.
+        const bool is_recent = may_serve(this->state, this->now);
+        send_peer(this->state, this->from,
+                  is_recent ? grant_tokens(this->state.shares, request, this->now) : deny_tokens(request));
     }
     void operator()(const token_grant& grant) const {
         receive_token_grant(this->state.shares, this->from, grant, this->now);
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -80,10 +80,9 @@
     session_entry_settings entry;
     executor_settings executor;
     coordination_settings coordination;
-    /// Hosts learn of a new member list with their next report, within half a second. A disconnected host may use the old list
-    /// until its evidence expires. Its excess share, a seventh of the rate against a sixth, is within the tenth by which a limit
-    /// may be exceeded.
-    share_settings shares{millis{1000}, millis{1100}, 6, 16, millis{0}};
+    /// Hosts learn of a new member list with their next report, within half a second, so a former holder's share ends before its
+    /// successor's begins. A disconnected host may use the old list until its evidence expires.
+    share_settings shares{millis{1000}, millis{1100}, 6, 16, millis{0}, 6, millis{600}};
 
     friend bool operator==(const session_host_settings&, const session_host_settings&) = default;
 };
--- a/tests/hosts/owners.tests.cpp
+++ b/tests/hosts/owners.tests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "camphorstack/contracts/shares.hpp"
 #include "hosts/membership_fleet.hpp"
 
 using namespace camphorstack;
@@ -65,7 +66,7 @@
 TEST_CASE("watchers and share holders change by at most one when a host leaves", "[owners]") {
     const member_list members{1, make_members(40)};
     const auto watchers = choose_watchers(members);
-    const auto holders = choose_share_holders(members, "w", 8, 16);
+    const auto holders = choose_share_holders(members, "w", 8);
     CHECK(watchers.size() == watcher_count);
     CHECK(holders.size() == 8);
     const auto kept = [](const std::vector<host_id>& before, const std::vector<host_id>& after) {
@@ -75,7 +76,11 @@
         auto remaining = members;
         remaining.hosts.erase(remaining.hosts.begin() + static_cast<std::ptrdiff_t>(i));
         CHECK(kept(watchers, choose_watchers(remaining)) >= 8);
-        CHECK(kept(holders, choose_share_holders(remaining, "w", 8, 16)) >= 7);
+        CHECK(kept(holders, choose_share_holders(remaining, "w", 8)) >= 7);
     }
-    CHECK(choose_share_holders({1, make_members(16)}, "w", 8, 16).size() == 16);
+    const share_settings settings;
+    CHECK((settings.max_holders == 8 && settings.all_hold_up_to == 16));
+    const auto count = holder_count(settings, request_cost, 16);
+    CHECK(choose_share_holders({1, make_members(16)}, "w", count).size() == 16);
+    CHECK(holder_count(settings, request_cost, 40) == 8);
 }
