Keep links to the hosts that operations need, and reply on the request's link

Opening a link takes three round trips, 48 ms between regions, and each direction had a link of its own, so the first token from a holder came after seven round trips. With 195 hosts and holders spread over all of them, most pairs met for the first time.

Ruled out: holders without tokens (their answers name a shorter time), lost messages (no link was reported broken).

Change: - shares are held by 24 hosts and one more for each 32 hosts (29 of 195, 67 of 1,400), in all data centres alike (choose_share_hosts); - each host opens links to them and to the owners of endpoints ahead of need, at most 128, and keeps them from becoming idle (kept_links); - results, token grants and relayed changes use the incoming link on which the request came, if it has delivered a message in the last 2 s.

--- a/src/camphorstack/contracts/shares.cpp
+++ b/src/camphorstack/contracts/shares.cpp
@@ -35,10 +35,18 @@
     return ordered;
 }
 
+std::map<data_centre_id, std::vector<member>> split_by_data_centre(const member_list& members) {
+    std::map<data_centre_id, std::vector<member>> parts;
+    for (const auto& host : members.hosts) {
+        parts[host.location].push_back(host);
+    }
+    return parts;
+}
+
 void choose_holders(const share_state& state, const workspace_id& id, rate_limit_share& share) {
     const auto former = share.holders;
     const auto& hosts = state.members.hosts;
-    share.holders = choose_share_holders(state.members, id, holder_count(state.settings, share.burst, hosts.size()));
+    share.holders = choose_share_holders(state.share_hosts, id, holder_count(state.settings, share.burst, hosts.size()));
     const bool holds = std::ranges::binary_search(share.holders, state.self);
     share.divisor = holds ? share.holders.size() : 0;
     std::erase_if(share.lenders, [&share](const auto& entry) { return !std::ranges::binary_search(share.holders, entry.first); });
@@ -66,6 +74,25 @@
 
 }  // namespace
 
+member_list choose_share_hosts(const member_list& members) {
+    constexpr std::size_t fewest = 24;  ///< Four in each of six data centres.
+    constexpr std::size_t hosts_per_further_one = 32;
+    if (members.hosts.size() <= fewest) {
+        return members;
+    }
+    const auto count = fewest + (members.hosts.size() - fewest) / hosts_per_further_one;
+    const auto locations = split_by_data_centre(members);
+    member_list chosen{members.epoch, {}};
+    for (const auto& [location, hosts] : locations) {
+        const auto part = std::max<std::size_t>(1, count / locations.size());
+        const auto ids = choose_share_holders({members.epoch, hosts}, "hosts/" + location, part);
+        std::ranges::copy_if(hosts, std::back_inserter(chosen.hosts),
+                             [&ids](const member& host) { return std::ranges::binary_search(ids, host.id); });
+    }
+    std::ranges::sort(chosen.hosts, {}, &member::id);
+    return chosen;
+}
+
 std::size_t holder_count(const share_settings& settings, millitokens burst, std::size_t host_count) {
     const auto most = host_count <= settings.all_hold_up_to ? host_count : std::min(settings.max_holders, host_count);
     if (settings.min_holder_burst <= 0) {
@@ -105,6 +132,7 @@
     }
     const bool successive = state.members.epoch != 0 && members.epoch == state.members.epoch + 1;
     state.members = members;
+    state.share_hosts = choose_share_hosts(members);
     for (auto& [id, share] : state.rate_limits) {
         accrue(share, now);
         const former_share former{
--- a/src/camphorstack/contracts/shares.hpp
+++ b/src/camphorstack/contracts/shares.hpp
@@ -46,6 +46,7 @@
     share_settings settings;
     document_version version = 0;  ///< Version of the document that the rate limits come from.
     member_list members;           ///< Newest agreed member list known; epoch 0 before the first.
+    member_list share_hosts;       ///< Those of `members` that may hold shares; see `choose_share_hosts`.
     std::map<workspace_id, rate_limit_share> rate_limits;
     std::uint64_t next_sequence = 0;  ///< Of loan and token requests. Starts at random, so that a restarted process reuses none.
 };
@@ -53,6 +54,10 @@
 /// Returns the number of hosts that hold a share of a rate limit with this burst, in a fleet of `host_count` hosts.
 [[nodiscard]] std::size_t holder_count(const share_settings& settings, millitokens burst, std::size_t host_count);
 
+/// Returns the hosts that may hold shares: all members of a small fleet, else a number that grows much slower than the fleet, from
+/// all data centres alike. Each host keeps links to all of them, so that no operation waits for a new link.
+[[nodiscard]] member_list choose_share_hosts(const member_list& members);
+
 /// Adopts the rates and bursts of a newer document. A changed rate limit applies at once, and for `changeover` with the smaller
 /// share if its number of holders changes. A new one starts without tokens, and without a share for `share_delay`.
 void update_rate_limits(share_state& state, const document& content, instant now);
--- a/src/camphorstack/links/peer_link.cpp
+++ b/src/camphorstack/links/peer_link.cpp
@@ -123,10 +123,10 @@
 }
 
 void peer_link::on_message(std::span<const std::uint8_t> frame) {
-    if (this->message_direction == link_direction::outgoing) {
-        throw format_error("message from the acceptor of a link");
-    }
     if (frame.empty()) {
+        if (this->message_direction == link_direction::outgoing) {
+            throw format_error("the acceptor of a link announces its idle end");
+        }
         this->end(link_close_reason::idle);
         return;
     }
--- a/src/camphorstack/links/peer_links.cpp
+++ b/src/camphorstack/links/peer_links.cpp
@@ -41,6 +41,12 @@
     bool is_authenticated = false;    ///< True for an incoming link whose opener has proved the secret.
 };
 
+/// Returns true for answers that may overtake other messages to the same host.
+bool is_reply(const peer_body& body) {
+    return std::holds_alternative<run_result>(body) || std::holds_alternative<token_grant>(body) ||
+           std::holds_alternative<catalog_reply>(body);
+}
+
 std::string remote_ip(GSocketConnection* connection) {
     const auto address = g_adopt(g_socket_connection_get_remote_address(connection, nullptr));
     const std::string text = format_socket_address(address.get());
@@ -60,6 +66,8 @@
 
     void listen();
     void send(const send_to_peer& action);
+    /// Sends a reply on the link on which its request came. Returns false if there is none.
+    bool send_reply(const send_to_peer& action, const std::vector<std::uint8_t>& bytes);
     /// Returns false if the link's output buffer is full.
     bool send_on(link_entry& entry, const std::vector<std::uint8_t>& bytes);
     link_entry& open(const host_id& peer, const std::string& address);
@@ -93,8 +101,9 @@
     g_source_handle sweeper;
     std::map<host_id, link_entry> outgoing;
     std::map<const peer_link*, link_entry> incoming;
-    std::set<host_id> reachable;    ///< Peers that have been logged as reachable since their last failure.
-    std::set<host_id> unreachable;  ///< Peers that have been logged as unreachable since their last link.
+    std::map<host_id, const peer_link*> latest_incoming;  ///< The newest authenticated incoming link of each peer.
+    std::set<host_id> reachable;                          ///< Peers that have been logged as reachable since their last failure.
+    std::set<host_id> unreachable;                        ///< Peers that have been logged as unreachable since their last link.
     std::set<std::pair<std::string, link_close_reason>> logged_rejections;  ///< Remote IP addresses and reasons.
     std::size_t unauthenticated_links = 0;                                  ///< Incoming links in their handshake.
 };
@@ -155,7 +164,10 @@
     peer_link::callbacks calls;
     calls.ready = [this](peer_link& link) { this->on_ready(link); };
     calls.received = [this](peer_link& link, peer_message message) {
-        this->incoming.at(&link).last_used_at = this->time.now();
+        const auto found = this->incoming.find(&link);
+        if (found != this->incoming.end()) {
+            found->second.last_used_at = this->time.now();
+        }
         this->emit(std::move(message));
     };
     calls.ended = [this](peer_link& link, link_close_reason cause) { this->on_ended(link, cause); };
@@ -171,6 +183,17 @@
     return true;
 }
 
+bool peer_links::state::send_reply(const send_to_peer& action, const std::vector<std::uint8_t>& bytes) {
+    const auto link = this->latest_incoming.find(action.peer);
+    if (!is_reply(action.message.body) || link == this->latest_incoming.end()) {
+        return false;
+    }
+    auto& entry = this->incoming.at(link->second);
+    const bool has_same_host = action.address.starts_with(entry.address + ":");
+    const bool is_in_use = this->time.now() - entry.last_used_at < this->limits.reply_window;
+    return has_same_host && is_in_use && entry.link->is_ready() && this->send_on(entry, bytes);
+}
+
 void peer_links::state::send(const send_to_peer& action) {
     std::vector<std::uint8_t> bytes;
     try {
@@ -186,6 +209,10 @@
         found->second.link->end(link_close_reason::broken);
         found = this->outgoing.end();
     }
+    const bool has_link = found != this->outgoing.end() && found->second.link->is_ready();
+    if (!has_link && this->send_reply(action, bytes)) {
+        return;
+    }
     link_entry& entry = found == this->outgoing.end() ? this->open(action.peer, action.address) : found->second;
     if (entry.link->is_ready()) {
         entry.last_used_at = this->time.now();
@@ -261,6 +288,7 @@
     --this->unauthenticated_links;
     link_entry& entry = this->incoming.at(&link);
     entry.is_authenticated = true;
+    this->latest_incoming[link.peer_id()] = &link;
     std::erase_if(this->logged_rejections, [&entry](const auto& item) { return item.first == entry.address; });
 }
 
@@ -316,6 +344,10 @@
     const auto found = this->incoming.find(&link);
     link_entry entry = std::move(found->second);
     this->incoming.erase(found);
+    const auto latest = this->latest_incoming.find(link.peer_id());
+    if (latest != this->latest_incoming.end() && latest->second == &link) {
+        this->latest_incoming.erase(latest);
+    }
     if (!entry.is_authenticated) {
         --this->unauthenticated_links;
     } else if (cause != link_close_reason::idle) {
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -7,6 +7,7 @@
 #include "camphorstack/coordination/coordinator.hpp"
 #include "camphorstack/session_host/catalog_relay.hpp"
 #include "camphorstack/session_host/catalog_updates.hpp"
+#include "camphorstack/session_host/kept_links.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
 #include "camphorstack/session_host/session_host_state.hpp"
 #include "camphorstack/session_host/share_members.hpp"
@@ -76,6 +77,7 @@
     update_serving(state, now);
     shutdown_tick(state, now);
     catalog_relay_tick(state, now);
+    kept_links_tick(state, now);
 }
 
 /// Delivers the executor's results, until there are none left, and its actions.
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -91,6 +91,8 @@
     std::map<database_id, instant> sample_needed_at;   ///< When a read last needed a position sample of the database.
     std::map<endpoint_id, reported_wait> reported_waits;
     std::map<host_id, instant> broken_links;  ///< Peers that cannot be reached, with the time of the last attempt.
+    std::map<host_id, instant> kept_links;    ///< When a message was last sent to keep the link to a peer open.
+    instant next_link_check;                  ///< The kept links are not checked earlier.
     std::set<session_id> waiting_sessions;    ///< Sessions whose operation waits for tokens or for a leader.
     coordination_state coordination;
     std::map<workspace_id, operation_counts> counts;
--- a/tests/links/peer_links.tests.cpp
+++ b/tests/links/peer_links.tests.cpp
@@ -257,3 +257,41 @@
     WARN("share of one core with " << link_count << " idle links: " << share);
     CHECK(share < 0.1);
 }
+
+// Guards against answers that wait for a second handshake: with a link for each direction, the first token of a holder in another
+// region came after seven round trips, and the operation that needed it had been refused.
+TEST_CASE("a reply uses the link on which its request came", "[peer-links]") {
+    test_host a("a");
+    test_host b("b");
+    const auto address_of_a = a.links.bound_address();
+    a.send("b", b.links.bound_address(), token_request{1, "w", 1});
+    REQUIRE(run_until([&] { return b.all<peer_message>().size() == 1; }));
+    const token_grant grant{1, "w", 1, millis{0}};
+    b.send("a", address_of_a, grant, "b");
+    REQUIRE(run_until([&] { return a.all<peer_message>().size() == 1; }));
+    CHECK(a.all<peer_message>().front() == peer_message{"b", grant});
+    CHECK(b.links.counters().opened == 0);
+    CHECK(a.links.counters().accepted == 0);
+
+    SECTION("messages that must not overtake others open a link of their own") {
+        b.send("a", address_of_a, transaction_left{7}, "b");
+        REQUIRE(run_until([&] { return a.all<peer_message>().size() == 2; }));
+        CHECK(b.links.counters().opened == 1);
+    }
+    SECTION("a reply to a host that has restarted at another address does not use its old link") {
+        b.send("a", "127.0.0.2:1", grant, "b");
+        REQUIRE(run_until([&] { return b.all<peer_not_sent>().size() == 1; }));
+        CHECK(a.all<peer_message>().size() == 1);
+    }
+    SECTION("a reply after the link has ended opens a link") {
+        auto first = std::make_unique<test_host>("c");
+        first->send("b", b.links.bound_address(), token_request{2, "w", 1}, "c");
+        REQUIRE(run_until([&] { return b.all<peer_message>().size() == 2; }));
+        first.reset();
+        REQUIRE(run_until([&] { return !b.all<peer_disconnected>().empty(); }));
+        const test_host second("c");
+        b.send("c", second.links.bound_address(), grant, "b");
+        REQUIRE(run_until([&] { return second.all<peer_message>().size() == 1; }));
+        CHECK(b.links.counters().opened == 1);
+    }
+}
