Replace a lost coordinator within seconds at every size of the fleet

A host took over after 1.2 s and 200 ms for each member before it in the order of succession, so with a third of 195 hosts lost the fleet had no coordinator, and so no change of a leader, for up to 13 s. Meanwhile each host sent its reports to all others, the square of the fleet in messages.

Change: - the wait grows with the logarithm of the position (takeover_wait); hosts that try at nearly the same time are told apart by the store; - a host whose coordinator is silent asks a sample of 16 peers, not all; - a host that has taken the role over tells the members (coordinator_update), so they neither wait for their next look at the store nor all call it; - while the coordinator is silent, a change that a peer has reported is asked of that peer; - changes that another host sent are dropped if the store has answered meanwhile: they could have brought an endpoint that had left back; - json-glib writes large fractions as "1e+20.0", which it cannot read. A relayed document with such a number would have been unreadable; found by the new test of decode_objects.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -113,6 +113,10 @@
         want_list(watch, now);
         return std::nullopt;
     }
+    if (watch.revision != changes->known) {
+        // The store has answered meanwhile. The other host's changes may be older than that answer.
+        return std::nullopt;
+    }
     changes->update.items = answer.items;
     watch.revision = std::max(watch.revision, changes->revision);
     watch.last_change = std::max(watch.last_change, changes->last_change);
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -42,6 +42,7 @@
 
 /// Changes that another host has sent, while the adapter decodes their objects.
 struct relayed_changes {
+    store_revision known = 0;        ///< Revision up to which this host knew all changes when it asked.
     std::uint64_t call = 0;          ///< Id of the decode call.
     collection_update update;        ///< The objects are added when they have been decoded.
     store_revision revision = 0;     ///< All changes up to this revision will be known.
@@ -52,6 +53,7 @@
 /// A request for changes to another host.
 struct pending_catalog_request {
     std::uint64_t sequence = 0;
+    store_revision known = 0;  ///< Revision after which changes were asked for.
     instant sent;
 
     friend bool operator==(const pending_catalog_request&, const pending_catalog_request&) = default;
--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -28,7 +28,7 @@
     millis member_list_interval{500};
     /// Time without an answer from the coordinator before a host takes over: two reports and the latency between regions.
     millis takeover_after{1200};
-    /// Additional wait before a takeover for each preceding host in the order of succession.
+    /// Additional wait before a takeover each time the number of preceding hosts in the order of succession doubles.
     millis takeover_step{200};
     /// Duration of a leader lease, from when the host asked the store for the leader records.
     millis leader_lease{2500};
--- a/src/camphorstack/coordination/coordination_messages.hpp
+++ b/src/camphorstack/coordination/coordination_messages.hpp
@@ -46,6 +46,14 @@
     friend bool operator==(const membership_answer&, const membership_answer&) = default;
 };
 
+/// The coordinator record as its host wrote it. Sent to all members by a host that has taken the role over.
+struct coordinator_update {
+    coordinator_record record;
+    store_revision revision = 0;  ///< Store revision of the record.
+
+    friend bool operator==(const coordinator_update&, const coordinator_update&) = default;
+};
+
 /// A leader record as the coordinator wrote it. Sent to all members for the case that the store does not answer them.
 struct leader_update {
     leader_record record;
--- a/src/camphorstack/coordination/coordinator.hpp
+++ b/src/camphorstack/coordination/coordinator.hpp
@@ -7,6 +7,9 @@
 /// Returns true if the store's record names this process as the coordinator.
 [[nodiscard]] bool holds_coordinator_role(const session_host_state& state);
 
+/// Returns true if the coordinator has not answered this host's last report in time.
+[[nodiscard]] bool is_coordinator_silent(const session_host_state& state, instant now);
+
 /// Sends reports to the coordinator, and takes the role over if the coordinator does not answer.
 void coordinator_role_tick(session_host_state& state, instant now);
 
--- a/src/camphorstack/coordination/coordinator_role.cpp
+++ b/src/camphorstack/coordination/coordinator_role.cpp
@@ -2,6 +2,7 @@
 
 #include "camphorstack/coordination/coordinator.hpp"
 #include "camphorstack/coordination/leader_suspicion.hpp"
+#include "camphorstack/coordination/succession.hpp"
 #include "camphorstack/session_host/catalog_relay.hpp"
 #include "camphorstack/session_host/catalog_updates.hpp"
 
@@ -51,12 +52,12 @@
 }
 
 bool reaches_most_peers(const session_host_state& state, instant now) {
-    const auto others = std::ranges::count_if(listed_members(state), [&](const member& host) {
-        return host.id != state.settings.self.id && host.id != state.catalog.coordinator->record.host.id;
+    const auto sample = sample_peers(listed_members(state), state.settings.self.id, state.catalog.coordinator->record.host.id);
+    const auto answering = std::ranges::count_if(sample, [&](const host_id& id) {
+        const auto heard = state.coordination.peers_last_heard.find(id);
+        return heard != state.coordination.peers_last_heard.end() && now - heard->second < peer_answer_time;
     });
-    const auto answering_peers = std::ranges::count_if(state.coordination.peers_last_heard,
-                                                       [&](const auto& item) { return now - item.second < peer_answer_time; });
-    return answering_peers * 2 >= others;
+    return static_cast<std::size_t>(answering) * 2 >= sample.size();
 }
 
 void take_over(session_host_state& state, instant now) {
@@ -80,7 +81,7 @@
         return !holds_coordinator_role(state);
     }
     const auto unanswered = now - coordination.last_answered_report;
-    const auto wait = coordination.settings.takeover_after + coordination.settings.takeover_step * succession_rank(state);
+    const auto wait = takeover_wait(coordination.settings, succession_rank(state));
     return unanswered >= wait && (reaches_most_peers(state, now) || unanswered >= wait * isolated_wait_factor);
 }
 
@@ -110,18 +111,25 @@
         receive_membership_report(state, coordinator, report, now);
         return;
     }
-    const bool is_coordinator_silent = now - coordination.last_answered_report >= coordination.settings.takeover_after / 2;
     report.sequence = coordination.next_sequence++;
     coordination.unanswered_reports[report.sequence] = now;
     while (coordination.unanswered_reports.size() > max_unanswered_reports) {
         coordination.unanswered_reports.erase(coordination.unanswered_reports.begin());
     }
     send_peer(state, coordinator, report);
-    if (is_coordinator_silent) {
-        for (const auto& host : listed_members(state)) {
-            if (host.id != coordinator && host.id != state.settings.self.id) {
-                send_peer(state, host.id, report);
-            }
+    if (is_coordinator_silent(state, now)) {
+        for (const auto& id : sample_peers(listed_members(state), state.settings.self.id, coordinator)) {
+            send_peer(state, id, report);
+        }
+    }
+}
+
+/// Tells the other members who coordinates now, so that they neither wait for their next look at the store nor all call it.
+void announce_coordinator(session_host_state& state) {
+    const coordinator_update update{state.catalog.coordinator->record, state.catalog.coordinator->revision};
+    for (const auto& host : listed_members(state)) {
+        if (host.id != state.settings.self.id) {
+            send_peer(state, host.id, update);
         }
     }
 }
@@ -133,6 +141,11 @@
     return known && known->record.host.id == state.settings.self.id && known->record.nonce == state.settings.nonce;
 }
 
+bool is_coordinator_silent(const session_host_state& state, instant now) {
+    const auto& coordination = state.coordination;
+    return now - coordination.last_answered_report >= coordination.settings.takeover_after / 2;
+}
+
 const std::vector<member>& listed_members(const session_host_state& state) {
     static const std::vector<member> none;
     return state.catalog.members ? state.catalog.members->record.list.hosts : none;
@@ -159,6 +172,9 @@
                 coordination.hosts[host.id] = {{host, "", host_stage::serving, {}}, now};
             }
         }
+        if (holds) {
+            announce_coordinator(state);
+        }
     }
     send_reports(state, now);
     if (should_take_over(state, now)) {
@@ -224,7 +240,7 @@
     }
     for (const auto& evidence : answer.evidence) {
         auto& watch = watch_of(state, evidence.collection_id);
-        if (!lacks_change(watch, evidence) || !request_change(state, evidence.collection_id, evidence.last_change, now)) {
+        if (!lacks_change(watch, evidence) || !request_change(state, evidence.collection_id, evidence.last_change, from, now)) {
             receive_evidence(watch, evidence, report->second, now);
         }
     }
--- a/src/camphorstack/document/json_tree.cpp
+++ b/src/camphorstack/document/json_tree.cpp
@@ -88,6 +88,33 @@
     return {line, "not valid JSON: " + message.substr(text_start + 2)};
 }
 
+/// json-glib writes large fractions as "1e+20.0", which no parser accepts. Removes the ".0" behind exponents.
+std::string repair_exponents(std::string text) {
+    constexpr std::string_view number_characters = "0123456789.eE+-";
+    constexpr std::string_view needless = ".0";
+    std::size_t i = 0;
+    while (i < text.size()) {
+        if (text[i] == '"') {
+            i = end_of_json_string(text, i) + 1;
+            continue;
+        }
+        if (g_ascii_isdigit(text[i]) == FALSE) {
+            ++i;
+            continue;
+        }
+        const auto end = std::min(text.find_first_not_of(number_characters, i), text.size());
+        const std::string_view number(text.data() + i, end - i);
+        const bool has_exponent = number.find_first_of("eE") != std::string_view::npos;
+        if (has_exponent && number.ends_with(needless)) {
+            text.erase(end - needless.size(), needless.size());
+            i = end - needless.size();
+        } else {
+            i = end;
+        }
+    }
+    return text;
+}
+
 std::string generate(JsonNode* node, bool is_pretty) {
     const auto generator = g_adopt(json_generator_new());
     json_generator_set_root(generator.get(), node);
@@ -95,7 +122,7 @@
     json_generator_set_indent(generator.get(), 2);
     gsize length = 0;
     const g_text text{json_generator_to_data(generator.get(), &length)};
-    return {text.get(), length};
+    return repair_exponents({text.get(), length});
 }
 
 JsonNode* member_of_kind(JsonObject* parent, const char* name, JsonNodeType kind) {
--- a/src/camphorstack/hosts/peer_message.hpp
+++ b/src/camphorstack/hosts/peer_message.hpp
@@ -106,7 +106,7 @@
 using peer_body = std::variant<probe, probe_answer, relay_probe, relay_answer, document_request, document_reply, members_request,
                                members_reply, forward_request, forward_reply, loan_request, loan_grant, run_request, run_result,
                                transaction_left, membership_report, membership_answer, leader_closed, leader_update,
-                               token_request, token_grant, catalog_request, catalog_reply>;
+                               token_request, token_grant, catalog_request, catalog_reply, coordinator_update>;
 
 struct peer_message {
     host_id from;
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -289,6 +289,13 @@
         return {wire::Body::CatalogReply, table.Union()};
     }
 
+    encoded_body operator()(const coordinator_update& body) const {
+        const auto host = write_member(this->out, body.record.host);
+        const auto nonce = this->out.CreateString(body.record.nonce);
+        const auto table = wire::CreateCoordinatorUpdate(this->out, host, nonce, body.record.fence, body.revision);
+        return {wire::Body::CoordinatorUpdate, table.Union()};
+    }
+
 private:
     FlatBufferBuilder& out;
 };
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -327,6 +327,11 @@
         }
         case wire::Body::CatalogReply:
             return this->read(*frame.body_as_CatalogReply());
+        case wire::Body::CoordinatorUpdate: {
+            const auto& table = *frame.body_as_CoordinatorUpdate();
+            return coordinator_update{{this->read_member(table.host()), this->text(table.nonce()), table.fence()},
+                                      table.revision()};
+        }
         case wire::Body::NONE:
             break;
     }
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -104,6 +104,9 @@
 struct CatalogReply;
 struct CatalogReplyBuilder;
 
+struct CoordinatorUpdate;
+struct CoordinatorUpdateBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -132,11 +135,12 @@
   TokenGrant = 21,
   CatalogRequest = 22,
   CatalogReply = 23,
+  CoordinatorUpdate = 24,
   MIN = NONE,
-  MAX = CatalogReply
+  MAX = CoordinatorUpdate
 };
 
-inline const Body (&EnumValuesBody())[24] {
+inline const Body (&EnumValuesBody())[25] {
   static const Body values[] = {
     Body::NONE,
     Body::Probe,
@@ -161,13 +165,14 @@
     Body::TokenRequest,
     Body::TokenGrant,
     Body::CatalogRequest,
-    Body::CatalogReply
+    Body::CatalogReply,
+    Body::CoordinatorUpdate
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[25] = {
+  static const char * const names[26] = {
     "NONE",
     "Probe",
     "ProbeAnswer",
@@ -192,13 +197,14 @@
     "TokenGrant",
     "CatalogRequest",
     "CatalogReply",
+    "CoordinatorUpdate",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CatalogReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CoordinatorUpdate)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -299,6 +305,10 @@
   static const Body enum_value = Body::CatalogReply;
 };
 
+template<> struct BodyTraits<camphorstack::wire::CoordinatorUpdate> {
+  static const Body enum_value = Body::CoordinatorUpdate;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -3309,6 +3319,100 @@
       age_ms);
 }
 
+struct CoordinatorUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CoordinatorUpdateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOST = 4,
+    VT_NONCE = 6,
+    VT_FENCE = 8,
+    VT_REVISION = 10
+  };
+  const camphorstack::wire::Member *host() const {
+    return GetPointer<const camphorstack::wire::Member *>(VT_HOST);
+  }
+  const flatbuffers::String *nonce() const {
+    return GetPointer<const flatbuffers::String *>(VT_NONCE);
+  }
+  uint64_t fence() const {
+    return GetField<uint64_t>(VT_FENCE, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyTable(host()) &&
+           VerifyOffset(verifier, VT_NONCE) &&
+           verifier.VerifyString(nonce()) &&
+           VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct CoordinatorUpdateBuilder {
+  typedef CoordinatorUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_host(flatbuffers::Offset<camphorstack::wire::Member> host) {
+    fbb_.AddOffset(CoordinatorUpdate::VT_HOST, host);
+  }
+  void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
+    fbb_.AddOffset(CoordinatorUpdate::VT_NONCE, nonce);
+  }
+  void add_fence(uint64_t fence) {
+    fbb_.AddElement<uint64_t>(CoordinatorUpdate::VT_FENCE, fence, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(CoordinatorUpdate::VT_REVISION, revision, 0);
+  }
+  explicit CoordinatorUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CoordinatorUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CoordinatorUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CoordinatorUpdate> CreateCoordinatorUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<camphorstack::wire::Member> host = 0,
+    flatbuffers::Offset<flatbuffers::String> nonce = 0,
+    uint64_t fence = 0,
+    uint64_t revision = 0) {
+  CoordinatorUpdateBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_fence(fence);
+  builder_.add_nonce(nonce);
+  builder_.add_host(host);
+  return builder_.Finish();
+}
+
+struct CoordinatorUpdate::Traits {
+  using type = CoordinatorUpdate;
+  static auto constexpr Create = CreateCoordinatorUpdate;
+};
+
+inline flatbuffers::Offset<CoordinatorUpdate> CreateCoordinatorUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<camphorstack::wire::Member> host = 0,
+    const char *nonce = nullptr,
+    uint64_t fence = 0,
+    uint64_t revision = 0) {
+  auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
+  return camphorstack::wire::CreateCoordinatorUpdate(
+      _fbb,
+      host,
+      nonce__,
+      fence,
+      revision);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -3400,6 +3504,9 @@
   const camphorstack::wire::CatalogReply *body_as_CatalogReply() const {
     return body_type() == camphorstack::wire::Body::CatalogReply ? static_cast<const camphorstack::wire::CatalogReply *>(body()) : nullptr;
   }
+  const camphorstack::wire::CoordinatorUpdate *body_as_CoordinatorUpdate() const {
+    return body_type() == camphorstack::wire::Body::CoordinatorUpdate ? static_cast<const camphorstack::wire::CoordinatorUpdate *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -3504,6 +3611,10 @@
   return body_as_CatalogReply();
 }
 
+template<> inline const camphorstack::wire::CoordinatorUpdate *Frame::body_as<camphorstack::wire::CoordinatorUpdate>() const {
+  return body_as_CoordinatorUpdate();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3662,6 +3773,10 @@
       auto ptr = reinterpret_cast<const camphorstack::wire::CatalogReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::CoordinatorUpdate: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::CoordinatorUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/camphorstack/session_host/catalog_relay.cpp
+++ b/src/camphorstack/session_host/catalog_relay.cpp
@@ -70,12 +70,13 @@
     return is_reachable(state, coordinator) ? coordinator : host_id{};
 }
 
-bool request_change(session_host_state& state, collection collection_id, store_revision wanted, instant now) {
+bool request_change(session_host_state& state, collection collection_id, store_revision wanted, const host_id& informant,
+                    instant now) {
     auto& watch = watch_of(state, collection_id);
     if (watch.requested || watch.decoding) {
         return true;
     }
-    const auto parent = relay_parent(state);
+    const auto parent = is_coordinator_silent(state, now) ? informant : relay_parent(state);
     if (!watch.listed || parent.empty()) {
         return false;
     }
@@ -83,7 +84,7 @@
     if (!send_peer(state, parent, request)) {
         return false;
     }
-    watch.requested = pending_catalog_request{request.sequence, now};
+    watch.requested = pending_catalog_request{request.sequence, watch.revision, now};
     return true;
 }
 
@@ -97,23 +98,24 @@
     state.kept_requests.push_back({from, request, now});
     // The sender has heard of the change earlier than this host.
     if (!holds_coordinator_role(state)) {
-        request_change(state, request.collection_id, request.wanted, now);
+        request_change(state, request.collection_id, request.wanted, {}, now);
     }
 }
 
-void receive_catalog_reply(session_host_state& state, const catalog_reply& reply, instant now) {
+void receive_catalog_reply(session_host_state& state, const catalog_reply& reply) {
     auto& watch = watch_of(state, reply.collection_id);
     if (!watch.requested || watch.requested->sequence != reply.sequence) {
         return;
     }
-    const auto sent = watch.requested->sent;
+    const auto request = *watch.requested;
     watch.requested.reset();
     relayed_changes changes;
+    changes.known = request.known;
     changes.call = state.next_call++;
     changes.update = {reply.changes.complete, {}, reply.changes.removed};
     changes.revision = reply.revision;
     changes.last_change = reply.last_change;
-    changes.evidence = std::min(now, sent) - reply.age;
+    changes.evidence = request.sent - reply.age;
     watch.decoding = std::move(changes);
     catalog_call call;
     call.id = watch.decoding->call;
--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -108,19 +108,6 @@
     update_endpoint_shares(state, now);
 }
 
-void adopt_coordinator(session_host_state& state, const coordinator_record& record, store_revision revision, instant now) {
-    auto& known = state.catalog.coordinator;
-    if (known && revision <= known->revision) {
-        return;
-    }
-    known = stored_record<coordinator_record>{record, revision};
-    log_decision(state, "coordinator_adopted", "host=" + record.host.id + " fence=" + std::to_string(record.fence));
-    // The time limit for an answer of the new coordinator starts now.
-    state.coordination.last_answered_report = now;
-    state.coordination.next_report = now;
-    state.coordination.peers_last_heard.clear();
-}
-
 void adopt_claim(session_host_state& state, const unreachable_claim& record, store_revision revision, instant now) {
     auto& known = state.catalog.claims[record.host];
     if (revision <= known.revision) {
@@ -235,6 +222,19 @@
 
 }  // namespace
 
+void adopt_coordinator(session_host_state& state, const coordinator_record& record, store_revision revision, instant now) {
+    auto& known = state.catalog.coordinator;
+    if (known && revision <= known->revision) {
+        return;
+    }
+    known = stored_record<coordinator_record>{record, revision};
+    log_decision(state, "coordinator_adopted", "host=" + record.host.id + " fence=" + std::to_string(record.fence));
+    // The time limit for an answer of the new coordinator starts now.
+    state.coordination.last_answered_report = now;
+    state.coordination.next_report = now;
+    state.coordination.peers_last_heard.clear();
+}
+
 void adopt_leader(session_host_state& state, const leader_record& record, store_revision revision, instant now) {
     auto& known = state.catalog.leaders[record.database];
     if (revision <= known.revision) {
--- a/src/camphorstack/session_host/catalog_updates.hpp
+++ b/src/camphorstack/session_host/catalog_updates.hpp
@@ -10,6 +10,9 @@
 /// Applies a fleet record that this host has written or that the store returned on a conflict.
 void adopt_fleet_item(session_host_state& state, const catalog_item& item, instant now);
 
+/// Applies a coordinator record if it is newer than the known one.
+void adopt_coordinator(session_host_state& state, const coordinator_record& record, store_revision revision, instant now);
+
 /// Applies a leader record if it is newer than the known one.
 void adopt_leader(session_host_state& state, const leader_record& record, store_revision revision, instant now);
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -174,10 +174,13 @@
         closing_tick(this->state, this->now);
         retry_waiting(this->state, this->now);
     }
+    void operator()(const coordinator_update& update) const {
+        adopt_coordinator(this->state, update.record, update.revision, this->now);
+    }
     void operator()(const catalog_request& request) const {
         receive_catalog_request(this->state, this->from, request, this->now);
     }
-    void operator()(const catalog_reply& reply) const { receive_catalog_reply(this->state, reply, this->now); }
+    void operator()(const catalog_reply& reply) const { receive_catalog_reply(this->state, reply); }
     void operator()(const token_request& request) const {
         // Without recent evidence this host does not know whether it still is a holder.
         const bool is_recent = may_serve(this->state, this->now);
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -196,3 +196,55 @@
         CHECK_FALSE(due_calls(watch, next, at + millis{200}).empty());
     }
 }
+
+// Guards against a removed endpoint or a withdrawn evacuation that is in use again, because changes that another host sent
+// earlier were applied after a newer answer of the store.
+TEST_CASE("changes of another host are dropped if the store has answered meanwhile", "[collection-watch][catalog-relay]") {
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    auto calls = due_calls(watch, next, instant{0});
+    REQUIRE(receive_answer(watch, answer_to(calls[0], 40, {item("a", 5)}), instant{5}));
+    const auto evidence = watch.evidence;
+    const auto relayed = [&watch](std::uint64_t call) {
+        relayed_changes changes;
+        changes.known = 40;
+        changes.call = call;
+        changes.update = {false, {}, {"a"}};
+        changes.revision = 50;
+        changes.last_change = 50;
+        changes.evidence = instant{8};
+        watch.decoding = changes;
+    };
+    catalog_answer decoded;
+    decoded.status = catalog_status::done;
+
+    SECTION("they are applied otherwise") {
+        relayed(900);
+        decoded.id = 900;
+        decoded.items = {item("b", 50)};
+        const auto update = receive_answer(watch, decoded, instant{10});
+        REQUIRE(update);
+        CHECK((update->items == decoded.items && update->removed == std::vector<std::string>{"a"}));
+        CHECK((watch.revision == 50 && watch.last_change == 50 && watch.evidence == instant{8}));
+    }
+    SECTION("dropped after a newer list") {
+        relayed(901);
+        want_list(watch, instant{9});
+        calls = due_calls(watch, next, instant{9});
+        const auto list = std::ranges::find(calls, catalog_operation::list, &catalog_call::operation);
+        REQUIRE(list != calls.end());
+        REQUIRE(receive_answer(watch, answer_to(*list, 60, {item("a", 55)}), instant{10}));
+        decoded.id = 901;
+        CHECK_FALSE(receive_answer(watch, decoded, instant{11}));
+        CHECK((watch.revision == 60 && !watch.decoding));
+    }
+    SECTION("the store is asked if they cannot be decoded") {
+        relayed(902);
+        decoded.id = 902;
+        decoded.status = catalog_status::no_answer;
+        CHECK_FALSE(receive_answer(watch, decoded, instant{10}));
+        CHECK(watch.evidence == evidence);
+        calls = due_calls(watch, next, instant{10});
+        CHECK(std::ranges::count(calls, catalog_operation::list, &catalog_call::operation) == 1);
+    }
+}
--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -65,7 +65,8 @@
             token_request{3, "ws", 2},
             token_grant{3, "ws", 1, millis{40}},
             catalog_request{4, collection::endpoints, 70, 77},
-            catalog_reply{4, collection::endpoints, {true, {{"i-1", 77, "{}"}}, {"i-2"}}, 80, 77, millis{300}}};
+            catalog_reply{4, collection::endpoints, {true, {{"i-1", 77, "{}"}}, {"i-2"}}, 80, 77, millis{300}},
+            coordinator_update{{host_a, "nonce", 9}, 90}};
 }
 
 }  // namespace
--- a/tests/platform/store_json.tests.cpp
+++ b/tests/platform/store_json.tests.cpp
@@ -337,3 +337,54 @@
         }
     }
 }
+
+TEST_CASE("an object that another host sends is read like the store's own answer", "[platform][store-json][catalog-relay]") {
+    auto decode = call_of(collection::endpoints, catalog_operation::decode);
+
+    SECTION("readable and unreadable objects") {
+        const auto body = list(object("i-1", 3, endpoint_spec) + "," + object("i-2", 4, endpoint_without("Address")) + "," +
+                               object("i-3", 5, "17"));
+        const auto answer = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200, body);
+        REQUIRE(answer.items.size() == 3);
+        for (const auto& item : answer.items) {
+            decode.sources.push_back(item.source);
+        }
+        const auto decoded = decode_objects(decode);
+        CHECK(decoded.status == catalog_status::done);
+        CHECK(decoded.items == answer.items);
+    }
+    SECTION("the document, whose numbers may have been reduced") {
+        const auto item = read_document_with(R"("Limits":{"TransactionIdleMs":99999999999999999999})");
+        auto call = call_of(collection::document, catalog_operation::decode);
+        call.sources = {item.source};
+        const auto decoded = decode_objects(call);
+        REQUIRE(decoded.items.size() == 1);
+        const auto reason_of = [](const catalog_item& one) {
+            const auto* unreadable = std::get_if<unreadable_item>(&one.content);
+            return unreadable == nullptr ? std::string() : unreadable->reason;
+        };
+        CAPTURE(item.source);
+        CHECK(reason_of(item) == "");
+        CHECK(reason_of(decoded.items.front()) == "");
+        CHECK(document_of(decoded.items.front()) == document_of(item));
+    }
+    SECTION("nothing") {
+        CHECK(decode_objects(decode).items.empty());
+    }
+    // Guards against a process that ends because a peer of another version sends what it cannot read.
+    SECTION("what is no object is an error and not read as something else") {
+        const auto source = GENERATE(as<std::string>{}, "", "{", "]}", "17", "null", "{}", R"({"meta":{}})",
+                                     R"({"meta":{"Name":"a","Revision":-1}})", std::string(100000, '['), "\xff\xfe");
+        decode.sources = {source};
+        CAPTURE(source.substr(0, 40));
+        std::size_t usable = 0;
+        try {
+            const auto decoded = decode_objects(decode);
+            usable = static_cast<std::size_t>(std::ranges::count_if(
+                decoded.items, [](const catalog_item& item) { return std::holds_alternative<endpoint_entry>(item.content); }));
+        } catch (const format_error&) {
+            usable = 0;
+        }
+        CHECK(usable == 0);
+    }
+}
--- a/tests/session_fleet/catalog_relay.tests.cpp
+++ b/tests/session_fleet/catalog_relay.tests.cpp
@@ -129,7 +129,7 @@
     auto& host = fleet.host("host-3");
     const auto evidence = watch_of(host, collection::document).evidence;
     const auto revision = watch_of(host, collection::document).revision;
-    receive_catalog_reply(host, {12345, collection::document, {true, {}, {}}, 99999, 99999, millis{0}}, fleet.now());
+    receive_catalog_reply(host, {12345, collection::document, {true, {}, {}}, 99999, 99999, millis{0}});
     CHECK(host.actions.empty());
     CHECK(watch_of(host, collection::document).revision == revision);
     CHECK(watch_of(host, collection::document).evidence == evidence);
