Relay changes of the store within each data centre

Cause: the tree followed the order of the members' ids over all data centres, so most of its edges crossed a region.

Change: the members of each data centre form a tree whose root asks the coordinator.

--- a/src/camphorstack/session_host/catalog_relay.cpp
+++ b/src/camphorstack/session_host/catalog_relay.cpp
@@ -50,19 +50,21 @@
     if (coordinator == self) {
         return {};
     }
-    // Members in the order of their ids, without the coordinator, form a tree below it.
+    // The members of each data centre, in the order of their ids and without the coordinator, form a tree whose root asks the
+    // coordinator. So a change crosses each link between data centres once.
     std::vector<host_id> order;
     std::size_t position = 0;
     for (const auto& host : listed_members(state)) {
+        if (host.id == coordinator || host.location != state.settings.self.location) {
+            continue;
+        }
         if (host.id == self) {
             position = order.size();
         }
-        if (host.id != coordinator) {
-            order.push_back(host.id);
-        }
+        order.push_back(host.id);
     }
-    while (position >= catalog_relay_fanout) {
-        position = position / catalog_relay_fanout - 1;
+    while (position > 0) {
+        position = (position - 1) / catalog_relay_fanout;
         if (is_reachable(state, order[position])) {
             return order[position];
         }
--- a/tests/session_fleet/catalog_relay.tests.cpp
+++ b/tests/session_fleet/catalog_relay.tests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "camphorstack/coordination/coordinator.hpp"
 #include "session_fleet/session_fleet.hpp"
 
 using namespace camphorstack;
@@ -117,9 +118,20 @@
     }
     CHECK(children[""] == 1);  // Only the coordinator has none.
     children.erase("");
+    const auto coordinator = fleet.host("host-0").catalog.coordinator->record.host.id;
+    CHECK(children[coordinator] >= 3);  // The roots of the data centres.
     for (const auto& [parent, count] : children) {
         CHECK(count <= catalog_relay_fanout);
     }
+    std::size_t between_data_centres = 0;
+    for (std::size_t i = 0; i < hosts; ++i) {
+        const auto& host = fleet.host(host_id_of(i));
+        const auto parent = relay_parent(host);
+        const auto& members = listed_members(host);
+        const auto found = std::ranges::find(members, parent, &member::id);
+        between_data_centres += found != members.end() && found->location != host.settings.self.location ? 1 : 0;
+    }
+    CHECK(between_data_centres <= 3);
 }
 
 // Guards against requests of a peer for what this host does not have, and against answers that were not asked for.
