--- a/src/camphorstack/contracts/shares.hpp
+++ b/src/camphorstack/contracts/shares.hpp
@@ -54,8 +54,8 @@
 /// Returns the number of hosts that hold a share of a rate limit with this burst, in a fleet of `host_count` hosts.
 [[nodiscard]] std::size_t holder_count(const share_settings& settings, millitokens burst, std::size_t host_count);
 
-/// Returns the hosts that may hold shares: all members of a small fleet, else a number that grows much slower than the fleet, from
-/// all data centres alike. Each host keeps links to all of them, so that no operation waits for a new link.
+/// Returns the hosts that may hold shares: all members of a small fleet, else a number that grows much slower than the fleet,
+/// from all data centres alike. Each host keeps links to all of them, so that no operation waits for a new link.
 [[nodiscard]] member_list choose_share_hosts(const member_list& members);
 
 /// Adopts the rates and bursts of a newer document. A changed rate limit applies at once, and for `changeover` with the smaller
--- a/src/camphorstack/links/peer_links.hpp
+++ b/src/camphorstack/links/peer_links.hpp
@@ -15,7 +15,7 @@
     millis handshake_timeout{2000};        ///< Limit for connecting and authenticating both sides.
     millis idle_timeout{60000};            ///< An outgoing link that has sent nothing for this long is closed.
     millis incoming_idle_timeout{180000};  ///< An incoming link silent for this long ends as broken; its opener counts as failed.
-    millis reply_window{2000};  ///< Replies use an incoming link that has delivered a message within this time.
+    millis reply_window{2000};             ///< Replies use an incoming link that has delivered a message within this time.
     std::size_t max_waiting_messages = 1024;      ///< Messages buffered for one link that is being opened.
     std::size_t max_unauthenticated_links = 512;  ///< Incoming links in their handshake at the same time.
 
