Log and count which document decided a refusal, and how far behind a host is

The logs could not tell why: session_refused gave neither the age of the document's evidence nor whether the host had heard of a newer version, a refused statement gave no version at all, and nothing told when a host first heard of a change that it then adopted.

Added: change_reported when a host hears of a change that it lacks; evidence_ms and behind_ms on document_adopted, serving_started, serving_stopped, session_refused, transaction_refused and the new access_refused; the metrics camphorstack_access_refusals_total by code and camphorstack_behind_ms by collection. No decision changes.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -178,6 +178,22 @@
     return watch.listed && std::max(watch.seen_revision, watch.last_change) < reported.last_change;
 }
 
+bool is_behind(const collection_watch& watch) {
+    return watch.lacking && std::max(watch.seen_revision, watch.last_change) < watch.lacking->revision;
+}
+
+bool note_reported_change(collection_watch& watch, const collection_evidence& reported, instant now) {
+    if (!lacks_change(watch, reported)) {
+        return false;
+    }
+    if (is_behind(watch)) {
+        watch.lacking->revision = std::max(watch.lacking->revision, reported.last_change);
+        return false;
+    }
+    watch.lacking = reported_change{reported.last_change, now};
+    return true;
+}
+
 void want_list(collection_watch& watch, instant now) {
     if (!watch.listing) {
         watch.next_list = now;
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -59,6 +59,14 @@
     friend bool operator==(const pending_catalog_request&, const pending_catalog_request&) = default;
 };
 
+/// A change that another host has reported and this host lacks.
+struct reported_change {
+    store_revision revision = 0;  ///< Revision of the newest such change.
+    instant heard;                ///< When this host first heard that it lacks a change.
+
+    friend bool operator==(const reported_change&, const reported_change&) = default;
+};
+
 /// Follows one collection of the store: lists the collection, then watches for changes, and lists it again if the store has
 /// dropped the changes that the watch asks for.
 ///
@@ -85,6 +93,7 @@
     std::optional<instant> evidence;                   ///< Every change up to this instant of this host's clock is known.
     bool reachable = false;                            ///< The store answered the last call.
     int failures = 0;                                  ///< Number of failed calls in a row.
+    std::optional<reported_change> lacking;            ///< Set by `note_reported_change`.
     std::optional<pending_catalog_request> requested;  ///< Request to another host in flight.
     std::optional<relayed_changes> decoding;           ///< Changes that another host has sent.
 };
@@ -105,6 +114,12 @@
 /// Returns true if the other host knows of a change that this host does not know.
 [[nodiscard]] bool lacks_change(const collection_watch& watch, const collection_evidence& reported);
 
+/// Records that another host knows of a change that this host lacks. Returns true if this host was not behind before.
+bool note_reported_change(collection_watch& watch, const collection_evidence& reported, instant now);
+
+/// Returns true if this host lacks a change that another host has reported.
+[[nodiscard]] bool is_behind(const collection_watch& watch);
+
 /// Schedules a list.
 void want_list(collection_watch& watch, instant now);
 
--- a/src/camphorstack/coordination/coordinator_role.cpp
+++ b/src/camphorstack/coordination/coordinator_role.cpp
@@ -240,6 +240,11 @@
     }
     for (const auto& evidence : answer.evidence) {
         auto& watch = watch_of(state, evidence.collection_id);
+        if (note_reported_change(watch, evidence, now)) {
+            log_decision(state, "change_reported",
+                         std::string("collection=") + to_string(evidence.collection_id) + " from=" + from +
+                             " change=" + std::to_string(evidence.last_change) + " known=" + std::to_string(watch.last_change));
+        }
         if (!lacks_change(watch, evidence) || !request_change(state, evidence.collection_id, evidence.last_change, from, now)) {
             receive_evidence(watch, evidence, report->second, now);
         }
--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -66,7 +66,7 @@
     }
     log_decision(state, "document_adopted",
                  "version=" + std::to_string(content->version) + " previous=" + std::to_string(catalog.content->version) +
-                     " routes=" + std::to_string(content->routes.size()) +
+                     describe_document_age(state, now) + " routes=" + std::to_string(content->routes.size()) +
                      " workspaces=" + std::to_string(content->workspaces.size()));
     catalog.content = content;
     catalog.workspace_by_key.clear();
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -263,6 +263,7 @@
     operation.arrived = now;
     auto access = resolve_access(state, session);
     if (const auto* refused = std::get_if<access_refusal>(&access)) {
+        log_access_refused(state, "access_refused", "request=" + requested.id + " database=" + session.database, *refused, now);
         session.operation = operation;
         fail_operation(state, session, refused->code, refused->text, now);
         return;
@@ -442,7 +443,8 @@
                        instant now) {
     log_decision(state, "transaction_refused",
                  "request=" + requested.id + " workspace=" + session.transaction->access.workspace +
-                     " document=" + std::to_string(state.catalog.content->version) + " reason=\"" + reason + "\"",
+                     " document=" + std::to_string(state.catalog.content->version) + describe_document_age(state, now) +
+                     " reason=\"" + reason + "\"",
                  true);
     if (requested.kind == statement_kind::commit) {
         // A commit ends the transaction whatever its outcome.
--- a/src/camphorstack/session_host/session_answers.cpp
+++ b/src/camphorstack/session_host/session_answers.cpp
@@ -68,6 +68,15 @@
     session.state = session_state::idle;
 }
 
+void log_access_refused(session_host_state& state, const char* kind, const std::string& subject, const access_refusal& refusal,
+                        instant now) {
+    ++state.access_refusals[refusal.code];
+    log_decision(state, kind,
+                 subject + " code=" + to_string(refusal.code) + " document=" + std::to_string(state.catalog.content->version) +
+                     describe_document_age(state, now) + " reason=\"" + refusal.text + "\"",
+                 true);
+}
+
 std::variant<session_access, access_refusal> resolve_access(const session_host_state& state, const caller_session& session) {
     const auto& content = *state.catalog.content;
     const auto found = state.catalog.route_by_database.find(session.database);
--- a/src/camphorstack/session_host/session_answers.hpp
+++ b/src/camphorstack/session_host/session_answers.hpp
@@ -30,6 +30,10 @@
     friend bool operator==(const access_refusal&, const access_refusal&) = default;
 };
 
+/// Logs and counts the refusal of a session or an operation, with the document that decided it. `subject` says what was refused.
+void log_access_refused(session_host_state& state, const char* kind, const std::string& subject, const access_refusal& refusal,
+                        instant now);
+
 /// Returns the session's route and workspace by the document in force, or the reason for which it has no access.
 [[nodiscard]] std::variant<session_access, access_refusal> resolve_access(const session_host_state& state,
                                                                           const caller_session& session);
--- a/src/camphorstack/session_host/session_entry.cpp
+++ b/src/camphorstack/session_host/session_entry.cpp
@@ -125,10 +125,7 @@
         const auto code = has_document && !is_ending ? refused->code : result_code::busy;
         const char* const host_reason = is_ending ? "this host is about to end" : "this host knows no document yet";
         const std::string text = has_document && !is_ending ? refused->text : host_reason;
-        log_decision(state, "session_refused",
-                     "database=" + event.database + " code=" + to_string(code) +
-                         " document=" + std::to_string(state.catalog.content->version),
-                     true);
+        log_access_refused(state, "session_refused", "database=" + event.database, {code, text}, now);
         state.actions.emplace_back(reject_session{event.session, code, text});
         return;
     }
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -41,10 +41,8 @@
         return;
     }
     state.serving = serves;
-    const auto age = evidence_age(state, collection::document, now);
     log_decision(state, serves ? "serving_started" : "serving_stopped",
-                 "document=" + std::to_string(state.catalog.content->version) +
-                     " evidence_ms=" + (age ? std::to_string(age->count) : "none"));
+                 "document=" + std::to_string(state.catalog.content->version) + describe_document_age(state, now));
 }
 
 /// Sends a message to each peer whose link is broken, to detect when the peer can be reached again. Requests do not detect this
@@ -130,6 +128,9 @@
         if (update) {
             apply_collection_update(state, watch.collection_id, *update, now);
         }
+        if (!is_behind(watch)) {
+            watch.lacking.reset();
+        }
         if (watch.collection_id == collection::fleet && watch.evidence != previous_evidence) {
             update_leader_leases(state, now);
         }
@@ -329,6 +330,11 @@
     out << "# HELP camphorstack_relayed_changes_total Requests of other hosts for changes of the store that were answered.\n"
         << "# TYPE camphorstack_relayed_changes_total counter\ncamphorstack_relayed_changes_total " << state.relayed_answers
         << '\n';
+    out << "# HELP camphorstack_access_refusals_total Sessions and operations refused by the document, by code.\n"
+        << "# TYPE camphorstack_access_refusals_total counter\n";
+    for (const auto& [code, count] : state.access_refusals) {
+        out << "camphorstack_access_refusals_total{code=\"" << to_string(code) << "\"} " << count << '\n';
+    }
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
@@ -338,7 +344,9 @@
     for (const auto& watch : state.catalog.watches) {
         const auto age = evidence_age(state, watch.collection_id, now);
         out << "camphorstack_evidence_age_ms{collection=\"" << to_string(watch.collection_id) << "\"} " << (age ? age->count : -1)
-            << '\n';
+            << '\n'
+            << "camphorstack_behind_ms{collection=\"" << to_string(watch.collection_id) << "\"} "
+            << (watch.lacking ? (now - watch.lacking->heard).count : 0) << '\n';
     }
     return out.str();
 }
--- a/src/camphorstack/session_host/session_host_state.cpp
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -38,6 +38,13 @@
     return state.catalog.content->version > 0 && age && *age < state.settings.entry.document_lifetime;
 }
 
+std::string describe_document_age(const session_host_state& state, instant now) {
+    const auto& watch = watch_of(state, collection::document);
+    const auto age = evidence_age(state, collection::document, now);
+    return " evidence_ms=" + (age ? std::to_string(age->count) : "none") +
+           " behind_ms=" + (watch.lacking ? std::to_string((now - watch.lacking->heard).count) : "0");
+}
+
 std::string region_of(const session_host_state& state, const data_centre_id& location) {
     const auto found = state.settings.regions.find(location);
     return found == state.settings.regions.end() ? std::string() : found->second;
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -97,6 +97,7 @@
     coordination_state coordination;
     std::map<workspace_id, operation_counts> counts;
     store_call_counts store_calls;
+    std::map<result_code, std::uint64_t> access_refusals;  ///< Sessions and operations refused by the document, for the metrics.
     std::array<relayed_collection, collection_count> relayed;  ///< Copies from which other hosts' requests are answered.
     std::vector<kept_catalog_request> kept_requests;
     std::uint64_t relayed_answers = 0;  ///< Number of requests for changes that this host answered, for the metrics.
@@ -122,6 +123,10 @@
 /// Returns true if the host may serve callers: it has a document and recent evidence for it.
 [[nodiscard]] bool may_serve(const session_host_state& state, instant now);
 
+/// Returns the inputs of decisions that depend on the document's age, as log fields: the age of its evidence, and for how long
+/// this host has known that it lacks a change.
+[[nodiscard]] std::string describe_document_age(const session_host_state& state, instant now);
+
 /// Returns the region of a data centre; empty if the settings do not name it.
 [[nodiscard]] std::string region_of(const session_host_state& state, const data_centre_id& location);
 
