Refuse nobody for good on a document that may lack a change

Cause: resolve_access decided from whatever document the host had; the check of its age came after it, for statements only, and a new session was not checked at all. Any host that a change did not reach, because the store turned it away, it was cut off or the coordinator was, gave wrong final answers without end. The class: a negative answer from knowledge whose age is not checked.

Now a final refusal needs evidence younger than 78% of document_in_force (new setting, from the platform's ConfigurationApplyMs) and no report of a newer change; otherwise the answer is busy, a promise that callers retry elsewhere. New sessions at a host that may not serve are refused at once instead of with their first statement.

--- a/src/camphorstack/cli/serve_sessions.cpp
+++ b/src/camphorstack/cli/serve_sessions.cpp
@@ -67,7 +67,8 @@
                 return;
             }
             const auto settings = parse_session_settings(text, this->path).host;
-            this->task.on_event(settings_changed{settings.regions, settings.stop_grace, settings.entry.document_lifetime});
+            this->task.on_event(settings_changed{settings.regions, settings.stop_grace, settings.entry.document_lifetime,
+                                                 settings.entry.refusal_lifetime});
             std::cout << "event=settings_reloaded file=" << this->path << std::endl;
         } catch (const error& failure) {
             std::cout << "event=settings_not_reloaded file=" << this->path << " reason=\"" << failure.what() << "\"" << std::endl;
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -261,7 +261,7 @@
     open_operation operation;
     operation.requested = requested;
     operation.arrived = now;
-    auto access = resolve_access(state, session);
+    auto access = resolve_access(state, session, now);
     if (const auto* refused = std::get_if<access_refusal>(&access)) {
         log_access_refused(state, "access_refused", "request=" + requested.id + " database=" + session.database, *refused, now);
         session.operation = operation;
@@ -272,7 +272,7 @@
     operation.kind = kind_of(session, requested);
     session.operation = std::move(operation);
     if (!may_serve(state, now)) {
-        fail_operation(state, session, result_code::busy, "this host cannot prove that its document is recent", now);
+        fail_operation(state, session, result_code::busy, no_recent_document, now);
         return;
     }
     if (!can_answer_before_end(state, run_time_limit(state.settings.entry, session.operation->access.policy), now)) {
@@ -430,7 +430,7 @@
         return "the key was withdrawn";
     }
     if (!may_serve(state, now)) {
-        return "this host cannot prove that its document is recent";
+        return no_recent_document;
     }
     if (!can_answer_before_end(state, run_time_limit(state.settings.entry, policy), now)) {
         return "this host is shutting down";
--- a/src/camphorstack/session_host/session_answers.cpp
+++ b/src/camphorstack/session_host/session_answers.cpp
@@ -17,6 +17,14 @@
     std::ranges::set_intersection(first, second, std::back_inserter(access.regions));
 }
 
+/// Refuses what the document does not allow.
+access_refusal refuse_by_document(const session_host_state& state, result_code code, const char* text, instant now) {
+    if (!may_refuse_for_good(state, now)) {
+        return {result_code::busy, "this host's document may lack a change"};
+    }
+    return {code, text};
+}
+
 }  // namespace
 
 void answer_done(session_host_state& state, caller_session& session) {
@@ -77,11 +85,12 @@
                  true);
 }
 
-std::variant<session_access, access_refusal> resolve_access(const session_host_state& state, const caller_session& session) {
+std::variant<session_access, access_refusal> resolve_access(const session_host_state& state, const caller_session& session,
+                                                            instant now) {
     const auto& content = *state.catalog.content;
     const auto found = state.catalog.route_by_database.find(session.database);
     if (found == state.catalog.route_by_database.end()) {
-        return access_refusal{result_code::no_database, "no route leads to this database"};
+        return refuse_by_document(state, result_code::no_database, "no route leads to this database", now);
     }
     const auto& matched = content.routes[found->second];
     session_access access;
@@ -91,7 +100,7 @@
     if (matched.sessions.needs_key) {
         const auto workspace_of_key = state.catalog.workspace_by_key.find(session.key_sha256);
         if (workspace_of_key == state.catalog.workspace_by_key.end()) {
-            return access_refusal{result_code::not_authorized, "the key is not known or was withdrawn"};
+            return refuse_by_document(state, result_code::not_authorized, "the key is not known or was withdrawn", now);
         }
         access.workspace = workspace_of_key->second;
         if (const auto* own = find_workspace(content, workspace_of_key->second); own != nullptr) {
--- a/src/camphorstack/session_host/session_answers.hpp
+++ b/src/camphorstack/session_host/session_answers.hpp
@@ -22,6 +22,9 @@
 /// Ends the session's transaction, at the endpoint too if it has begun there, and sets the session to idle.
 void leave_transaction(session_host_state& state, caller_session& session, instant now);
 
+/// Reason for a refusal by a host that may not serve.
+constexpr const char* no_recent_document = "this host cannot prove that its document is recent";
+
 /// Reason for which a session may not run any operation.
 struct access_refusal {
     result_code code = result_code::busy;
@@ -34,8 +37,9 @@
 void log_access_refused(session_host_state& state, const char* kind, const std::string& subject, const access_refusal& refusal,
                         instant now);
 
-/// Returns the session's route and workspace by the document in force, or the reason for which it has no access.
+/// Returns the session's route and workspace by the document in force, or the reason for which it has no access. The refusal is
+/// `busy`, which callers retry, if the document may lack a change that gives access.
 [[nodiscard]] std::variant<session_access, access_refusal> resolve_access(const session_host_state& state,
-                                                                          const caller_session& session);
+                                                                          const caller_session& session, instant now);
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_entry.cpp
+++ b/src/camphorstack/session_host/session_entry.cpp
@@ -108,6 +108,20 @@
     }
 }
 
+/// Returns the reason for which a new session is refused; nothing if it is accepted.
+std::optional<access_refusal> reason_to_refuse(const session_host_state& state, const caller_session& session, instant now) {
+    // A session accepted this late in a shutdown would be closed when the process exits.
+    if (refuses_new_sessions(state, now)) {
+        return access_refusal{result_code::busy, "this host is about to end"};
+    }
+    if (!may_serve(state, now)) {
+        return access_refusal{result_code::busy, no_recent_document};
+    }
+    const auto access = resolve_access(state, session, now);
+    const auto* refused = std::get_if<access_refusal>(&access);
+    return refused == nullptr ? std::nullopt : std::optional(*refused);
+}
+
 }  // namespace
 
 void receive_session(session_host_state& state, const session_requested& event, instant now) {
@@ -116,17 +130,9 @@
     session.database = event.database;
     session.key_sha256 = event.key_sha256;
     session.last_used = now;
-    const auto access = resolve_access(state, session);
-    const auto* refused = std::get_if<access_refusal>(&access);
-    const bool has_document = state.catalog.content->version > 0;
-    // A session accepted this late in a shutdown would be closed when the process exits.
-    const bool is_ending = refuses_new_sessions(state, now);
-    if (!has_document || is_ending || refused != nullptr) {
-        const auto code = has_document && !is_ending ? refused->code : result_code::busy;
-        const char* const host_reason = is_ending ? "this host is about to end" : "this host knows no document yet";
-        const std::string text = has_document && !is_ending ? refused->text : host_reason;
-        log_access_refused(state, "session_refused", "database=" + event.database, {code, text}, now);
-        state.actions.emplace_back(reject_session{event.session, code, text});
+    if (const auto refused = reason_to_refuse(state, session, now)) {
+        log_access_refused(state, "session_refused", "database=" + event.database, *refused, now);
+        state.actions.emplace_back(reject_session{event.session, refused->code, refused->text});
         return;
     }
     state.sessions.emplace(event.session, std::move(session));
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -207,10 +207,12 @@
         settings.regions = event.regions;
         settings.stop_grace = event.stop_grace;
         settings.entry.document_lifetime = event.document_lifetime;
+        settings.entry.refusal_lifetime = event.refusal_lifetime;
         log_decision(this->state, "settings_taken",
                      "regions=" + std::to_string(event.regions.size()) +
                          " stop_grace_ms=" + std::to_string(event.stop_grace.count) +
-                         " document_lifetime_ms=" + std::to_string(event.document_lifetime.count));
+                         " document_lifetime_ms=" + std::to_string(event.document_lifetime.count) +
+                         " refusal_lifetime_ms=" + std::to_string(event.refusal_lifetime.count));
     }
     void operator()(const session_requested& event) const { receive_session(this->state, event, this->now); }
     void operator()(const statement_received& event) const { receive_statement(this->state, event, this->now); }
--- a/src/camphorstack/session_host/session_host_events.hpp
+++ b/src/camphorstack/session_host/session_host_events.hpp
@@ -19,6 +19,7 @@
     std::map<data_centre_id, std::string> regions;  ///< Region of each data centre.
     millis stop_grace;                              ///< Time from the request to stop until the process is killed.
     millis document_lifetime;  ///< Age of the document's evidence beyond which no request with a key is accepted.
+    millis refusal_lifetime;   ///< Age of the document's evidence beyond which nobody is refused for good.
 
     friend bool operator==(const settings_changed&, const settings_changed&) = default;
 };
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -18,6 +18,8 @@
     /// No request with a key is accepted if the document's evidence is older. A withdrawn key must stop working after 5 s, and
     /// watches of the store may miss changes for a second.
     millis document_lifetime{3900};
+    /// Nobody is refused for good on a document whose evidence is older: by then a newer version may have to be in force.
+    millis refusal_lifetime{2340};
     /// Time limit for a loan of tokens from another host: a round trip between regions and the lender's processing time.
     millis token_wait{40};
     /// Time limit for a change of leader to finish; a promotion takes 300 to 600 ms.
--- a/src/camphorstack/session_host/session_host_state.cpp
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -38,6 +38,12 @@
     return state.catalog.content->version > 0 && age && *age < state.settings.entry.document_lifetime;
 }
 
+bool may_refuse_for_good(const session_host_state& state, instant now) {
+    const auto age = evidence_age(state, collection::document, now);
+    return may_serve(state, now) && *age < state.settings.entry.refusal_lifetime &&
+           !is_behind(watch_of(state, collection::document));
+}
+
 std::string describe_document_age(const session_host_state& state, instant now) {
     const auto& watch = watch_of(state, collection::document);
     const auto age = evidence_age(state, collection::document, now);
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -123,6 +123,10 @@
 /// Returns true if the host may serve callers: it has a document and recent evidence for it.
 [[nodiscard]] bool may_serve(const session_host_state& state, instant now);
 
+/// Returns true if the host may refuse callers for good, that is with a code after which they do not try again: the evidence for
+/// its document is young enough that any later change is not in force yet, and no other host has reported a newer change.
+[[nodiscard]] bool may_refuse_for_good(const session_host_state& state, instant now);
+
 /// Returns the inputs of decisions that depend on the document's age, as log fields: the age of its evidence, and for how long
 /// this host has known that it lacks a change.
 [[nodiscard]] std::string describe_document_age(const session_host_state& state, instant now);
--- a/src/camphorstack/settings/parse_session_settings.cpp
+++ b/src/camphorstack/settings/parse_session_settings.cpp
@@ -15,6 +15,7 @@
 /// Maximum age of the document's evidence, in percent of `key_withdrawal`, the time in which a withdrawn key must stop working.
 /// Requests with a key are refused if the evidence is older. The remaining time covers a delay of the store in reporting a
 /// change.
+/// The same holds for refusals and `document_in_force`, the time in which a new version must be in force.
 constexpr std::int64_t document_lifetime_percent = 78;
 constexpr std::int64_t percent = 100;
 
@@ -42,9 +43,12 @@
     result.fleet_secret = reader.required_secret("fleet_secret", min_secret_length);
     read_regions(reader, host);
     millis key_withdrawal{5000};
+    millis document_in_force{5000};
     reader.optional_duration("stop_grace", one_millisecond, host.stop_grace);
     reader.optional_duration("key_withdrawal", one_millisecond, key_withdrawal);
+    reader.optional_duration("document_in_force", one_millisecond, document_in_force);
     host.entry.document_lifetime = key_withdrawal * document_lifetime_percent / percent;
+    host.entry.refusal_lifetime = document_in_force * document_lifetime_percent / percent;
     reader.reject_unknown_keys();
     if (host.regions.find(host.self.location) == host.regions.end() && errors.lines.empty()) {
         reader.add_error("data_centre", "is not among data_centres");
--- a/tests/session_host/routing.tests.cpp
+++ b/tests/session_host/routing.tests.cpp
@@ -84,8 +84,9 @@
     session_fleet fleet;
     fleet.run_for(millis{1000});
     auto& host = fleet.host("host-0");
-    static_cast<void>(step(host, settings_changed{{{"amman-a", "north"}}, millis{9000}, millis{1000}}, fleet.now()));
+    static_cast<void>(step(host, settings_changed{{{"amman-a", "north"}}, millis{9000}, millis{1000}, millis{700}}, fleet.now()));
     CHECK(region_of(host, "amman-a") == "north");
     CHECK(host.settings.stop_grace == millis{9000});
     CHECK(host.settings.entry.document_lifetime == millis{1000});
+    CHECK(host.settings.entry.refusal_lifetime == millis{700});
 }
--- a/tests/settings/parse_session_settings.tests.cpp
+++ b/tests/settings/parse_session_settings.tests.cpp
@@ -18,6 +18,7 @@
 fleet_secret: "sixteen characters"
 stop_grace: 6s
 key_withdrawal: 5000ms
+document_in_force: 3000ms
 data_centres:
   "amman-a": "amman"
   "irbid-a": "irbid"
@@ -46,6 +47,7 @@
     CHECK(settings.host.regions == std::map<data_centre_id, std::string>{{"amman-a", "amman"}, {"irbid-a", "irbid"}});
     CHECK(settings.host.stop_grace == millis{6000});
     CHECK(settings.host.entry.document_lifetime == millis{3900});
+    CHECK(settings.host.entry.refusal_lifetime == millis{2340});
     CHECK(settings.store_address == "10.200.1.7:8466");
     CHECK(is_session_settings(complete_settings));
     CHECK_FALSE(is_session_settings("id: a\nhttp_address: b\n"));
