Count what a watch proves from a second before its request

What callers could see: a host serves a withdrawn key, or refuses a new one, although its evidence says that its document is recent.

Cause: an answer to a watch was taken as proof of the state at its request. The platform's watches may hear nothing for a second, so the answer may lack a change from before the request. Reports passed this age on to all hosts as their own. The class: an age that is younger than the knowledge it describes. For withdrawn keys the 78% of the bound covered the second; refusals for good had no such reserve.

An answer to a watch now proves the time a second before its request (watch_blind_time), a list that of its request. The limits on the evidence follow: hosts take requests for 98% of the bounds instead of 78%, lists and retries start a second later. So the time for which hosts serve in an outage stays the same. Two tests of settings and one of the watch name the new figures; the watch's test now checks a short watch and a long one.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -13,13 +13,10 @@
     watch.next_list = next;
 }
 
-/// While the evidence, the host's own or another host's, is younger than this, a failed call is retried only after the longest
-/// delay.
-constexpr millis fresh_evidence_age{1500};
 constexpr int max_retry_doublings = 4;
 
 bool has_fresh_evidence(const collection_watch& watch, instant now) {
-    return watch.evidence && now - *watch.evidence < fresh_evidence_age;
+    return watch.evidence && now - *watch.evidence < watch.settings.fresh_evidence_age;
 }
 
 /// Counts a failed call. Returns the delay before the retry.
@@ -92,7 +89,7 @@
     }
     record_answer(watch);
     watch.next_watch = now;
-    advance_evidence(watch, sent);
+    advance_evidence(watch, sent - watch_blind_time);
     // The revision of the store proves nothing here: an answer to a watch may lack changes before that revision.
     advance_revisions(watch, 0, answer.items);
     if (answer.items.empty() && answer.removed.empty()) {
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -10,6 +10,10 @@
 
 namespace camphorstack {
 
+/// Watches of the store may report nothing for this long although the collection changes (the platform's page on impairments:
+/// "watches hear nothing for a second"), so an answer to a watch proves nothing about this time before it was requested.
+constexpr millis watch_blind_time{1000};
+
 /// Intervals and time limits for following one collection.
 struct collection_watch_settings {
     millis watch_time;      ///< The store answers a watch after this time even without changes; 0 for no watch.
@@ -19,6 +23,7 @@
     millis
         max_evidence_age;  ///< The collection is listed again when its evidence is older, as watches may miss changes; 0: never.
     millis max_retry_interval;  ///< Upper limit of the retry delay. Used from the first failure while the evidence is fresh.
+    millis fresh_evidence_age{1500};  ///< Evidence, the host's own or another host's, that is younger is fresh.
 
     friend bool operator==(const collection_watch_settings&, const collection_watch_settings&) = default;
 };
@@ -70,7 +75,8 @@
 /// Follows one collection of the store: lists the collection, then watches for changes, and lists it again if the store has
 /// dropped the changes that the watch asks for.
 ///
-/// Evidence is the latest instant up to which this host is proven to know every change of the collection.
+/// Evidence is the latest instant up to which this host is proven to know every change of the collection. A list proves the time
+/// when it was requested; a watch proves less, see `watch_blind_time`.
 ///
 /// A watch always starts from the revision of the last list or change, never from the revision in an answer without changes: such
 /// an answer may lack the most recent changes, and a watch from its revision would never report them.
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -15,11 +15,10 @@
 
 /// Time limits and costs for callers' sessions and their operations.
 struct session_entry_settings {
-    /// No request with a key is accepted if the document's evidence is older. A withdrawn key must stop working after 5 s, and
-    /// watches of the store may miss changes for a second.
-    millis document_lifetime{3900};
+    /// No request with a key is accepted if the document's evidence is older. A withdrawn key must stop working after 5 s.
+    millis document_lifetime{4900};
     /// Nobody is refused for good on a document whose evidence is older: by then a newer version may have to be in force.
-    millis refusal_lifetime{2340};
+    millis refusal_lifetime{2940};
     /// Time limit for a loan of tokens from another host: a round trip between regions and the lender's processing time.
     millis token_wait{40};
     /// Time limit for a change of leader to finish; a promotion takes 300 to 600 ms.
@@ -62,21 +61,21 @@
     millis stop_grace{6000};                        ///< Time from the request to stop until the process is killed.
     int spare_connections = 3;           ///< Of each endpoint; kept free by its owner for hosts that cannot reach the owner.
     std::size_t direct_connections = 1;  ///< Limit on this host's connections to an endpoint that another host owns.
-    /// Used while this host is the coordinator. An answer without changes proves the state at the time of the request, so the
-    /// evidence is at most twice `watch_time` old.
+    /// Used while this host is the coordinator. An answer to a watch proves the state `watch_blind_time` before the request, so
+    /// the evidence is at most twice `watch_time` and `watch_blind_time` old.
     watch_settings_by_collection coordinator_watches{{
-        {millis{700}, millis{0}, millis{700}, millis{300}, millis{1700}, millis{300}},
-        {millis{1500}, millis{0}, millis{700}, millis{300}, millis{0}, millis{300}},
-        {millis{1000}, millis{0}, millis{700}, millis{300}, millis{0}, millis{300}},
+        {millis{700}, millis{0}, millis{700}, millis{300}, millis{2700}, millis{300}, millis{2500}},
+        {millis{1500}, millis{0}, millis{700}, millis{300}, millis{0}, millis{300}, millis{2500}},
+        {millis{1000}, millis{0}, millis{700}, millis{300}, millis{0}, millis{300}, millis{2500}},
         {millis{28000}, millis{700}, millis{700}, millis{200}, millis{0}, millis{200}},
     }};
     /// Used while another host is the coordinator. `max_evidence_age` exceeds the age of the coordinator's evidence by at least
     /// one report interval. While the store does not answer, the calls for the document detect when it answers again, and the
     /// other collections wait for them.
     watch_settings_by_collection watches{{
-        {millis{0}, millis{0}, millis{700}, millis{300}, millis{2100}, millis{600}},
-        {millis{0}, millis{0}, millis{700}, millis{300}, millis{4000}, millis{2400}},
-        {millis{0}, millis{0}, millis{700}, millis{300}, millis{3000}, millis{2400}},
+        {millis{0}, millis{0}, millis{700}, millis{300}, millis{3100}, millis{600}, millis{2500}},
+        {millis{0}, millis{0}, millis{700}, millis{300}, millis{5000}, millis{2400}, millis{2500}},
+        {millis{0}, millis{0}, millis{700}, millis{300}, millis{4000}, millis{2400}, millis{2500}},
         {millis{0}, millis{0}, millis{700}, millis{200}, millis{1500}, millis{2400}},
     }};
     session_entry_settings entry;
--- a/src/camphorstack/settings/parse_session_settings.cpp
+++ b/src/camphorstack/settings/parse_session_settings.cpp
@@ -13,10 +13,9 @@
 constexpr std::size_t min_secret_length = 16;
 constexpr millis one_millisecond{1};
 /// Maximum age of the document's evidence, in percent of `key_withdrawal`, the time in which a withdrawn key must stop working.
-/// Requests with a key are refused if the evidence is older. The remaining time covers a delay of the store in reporting a
-/// change.
+/// Requests with a key are refused if the evidence is older. The remaining time covers clocks that differ in speed.
 /// The same holds for refusals and `document_in_force`, the time in which a new version must be in force.
-constexpr std::int64_t document_lifetime_percent = 78;
+constexpr std::int64_t document_lifetime_percent = 98;
 constexpr std::int64_t percent = 100;
 
 void read_regions(settings_reader& reader, session_host_settings& target) {
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -60,10 +60,14 @@
     auto watch = make_watch();
     std::uint64_t next = 1;
     receive_answer(watch, answer_to(due_calls(watch, next, instant{0})[0], 40), instant{5});
-    const auto call = due_calls(watch, next, instant{10})[0];
+    auto call = due_calls(watch, next, instant{10})[0];
     CHECK_FALSE(receive_answer(watch, answer_to(call, 90), instant{1010}));
+    // The watch may have heard nothing for `watch_blind_time`, so the list still proves more.
+    CHECK(watch.evidence == instant{0});
+    call = due_calls(watch, next, instant{1010})[0];
+    CHECK_FALSE(receive_answer(watch, answer_to(call, 90), instant{1040}));
     CHECK(watch.evidence == instant{10});
-    const auto again = due_calls(watch, next, instant{1010})[0];
+    const auto again = due_calls(watch, next, instant{1040})[0];
     CHECK(again.revision == 40);
     // Another host's evidence names a newer change, so it must not be adopted. When a host took the store's revision in an answer
     // without changes as known, a read ran at a former primary (scale-1 of hrna-camphor).
--- a/tests/settings/parse_session_settings.tests.cpp
+++ b/tests/settings/parse_session_settings.tests.cpp
@@ -46,8 +46,8 @@
     CHECK(settings.host.self == member{"front-1", "10.1.0.1:7560", "10.1.0.1:8465", "amman-a"});
     CHECK(settings.host.regions == std::map<data_centre_id, std::string>{{"amman-a", "amman"}, {"irbid-a", "irbid"}});
     CHECK(settings.host.stop_grace == millis{6000});
-    CHECK(settings.host.entry.document_lifetime == millis{3900});
-    CHECK(settings.host.entry.refusal_lifetime == millis{2340});
+    CHECK(settings.host.entry.document_lifetime == millis{4900});
+    CHECK(settings.host.entry.refusal_lifetime == millis{2940});
     CHECK(settings.store_address == "10.200.1.7:8466");
     CHECK(is_session_settings(complete_settings));
     CHECK_FALSE(is_session_settings("id: a\nhttp_address: b\n"));
