Take a change from another host if the relay parent does not pass it on

Causes: after a request without a reply in time, the next one went to the same parent. A parent whose changes were too large to pass on gave no reply, so each step waited for the time limit of 600 ms. And up to 1 MB was passed on: eight copies of a document with 1,467 routes, about 290 KB by the size of a route, take 1.9 s of a link of 10 Mbit/s. The class: a fallback that repeats what has failed, or waits without being told.

Now the host that reported the change is asked after a request without a reply; a host that cannot pass changes on says so and the receiver asks the store at once; and at most 90 KB are passed on, whose eight copies fit into the time limit on such a link. change_not_relayed logs both.

--- a/src/camphorstack/catalog/catalog_messages.hpp
+++ b/src/camphorstack/catalog/catalog_messages.hpp
@@ -36,7 +36,7 @@
     friend bool operator==(const collection_changes&, const collection_changes&) = default;
 };
 
-/// Answer to a `catalog_request`.
+/// Answer to a `catalog_request`. Without the wanted change if the sender has it but cannot pass it on.
 struct catalog_reply {
     std::uint64_t sequence = 0;
     collection collection_id = collection::document;
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -58,7 +58,8 @@
 /// A request for changes to another host.
 struct pending_catalog_request {
     std::uint64_t sequence = 0;
-    store_revision known = 0;  ///< Revision after which changes were asked for.
+    store_revision known = 0;   ///< Revision after which changes were asked for.
+    store_revision wanted = 0;  ///< Revision of a change that the answer must contain.
     instant sent;
 
     friend bool operator==(const pending_catalog_request&, const pending_catalog_request&) = default;
@@ -101,6 +102,7 @@
     int failures = 0;                                  ///< Number of failed calls in a row.
     std::optional<reported_change> lacking;            ///< Set by `note_reported_change`.
     std::optional<pending_catalog_request> requested;  ///< Request to another host in flight.
+    bool relay_failed = false;                         ///< The last request to another host got no answer in time.
     std::optional<relayed_changes> decoding;           ///< Changes that another host has sent.
 };
 
--- a/src/camphorstack/session_host/catalog_relay.cpp
+++ b/src/camphorstack/session_host/catalog_relay.cpp
@@ -13,15 +13,17 @@
 constexpr millis reply_timeout{600};
 /// Requests for a change that this host does not receive are dropped after this time; the sender has asked the store by then.
 constexpr millis kept_request_lifetime{800};
-/// Changes with more text are read from the store, as a frame holds no more.
-constexpr std::size_t max_relayed_bytes = 1'000'000;
+/// Changes with more text are read from the store. `catalog_relay_fanout` copies of this size leave a host within
+/// `reply_timeout`, also over the slowest links that hosts have (10 Mbit/s).
+constexpr std::size_t max_relayed_bytes = 90'000;
 
 bool is_reachable(const session_host_state& state, const host_id& id) {
     return !id.empty() && !state.broken_links.contains(id) &&
            (!state.catalog.members || find_unreachable(state.catalog.members->record, id) == nullptr);
 }
 
-/// Returns false if this host does not have the wanted change yet.
+/// Returns false if this host does not have the wanted change yet. If the changes cannot be passed on, the answer has none of
+/// them, and the receiver asks the store.
 bool answer_request(session_host_state& state, const host_id& from, const catalog_request& request, instant now) {
     const auto& watch = watch_of(state, request.collection_id);
     const auto age = evidence_age(state, request.collection_id, now);
@@ -30,12 +32,14 @@
     }
     auto changes =
         changes_after(state.relayed.at(static_cast<std::size_t>(request.collection_id)), request.known, max_relayed_bytes);
+    catalog_reply reply{request.sequence, request.collection_id, {}, 0, 0, *age};
     if (changes) {
         ++state.relayed_answers;
-        send_peer(
-            state, from,
-            catalog_reply{request.sequence, request.collection_id, std::move(*changes), watch.revision, watch.last_change, *age});
+        reply.changes = std::move(*changes);
+        reply.revision = watch.revision;
+        reply.last_change = watch.last_change;
     }
+    send_peer(state, from, std::move(reply));
     return true;
 }
 
@@ -78,7 +82,9 @@
     if (watch.requested || watch.decoding) {
         return true;
     }
-    const auto parent = is_coordinator_silent(state, now) ? informant : relay_parent(state);
+    // The informant has the change. Usually it is the coordinator, which must not send every change to all hosts.
+    const bool asks_informant = is_coordinator_silent(state, now) || (watch.relay_failed && !informant.empty());
+    const auto parent = asks_informant ? informant : relay_parent(state);
     if (!watch.listed || parent.empty()) {
         return false;
     }
@@ -86,7 +92,7 @@
     if (!send_peer(state, parent, request)) {
         return false;
     }
-    watch.requested = pending_catalog_request{request.sequence, watch.revision, now};
+    watch.requested = pending_catalog_request{request.sequence, watch.revision, wanted, now};
     return true;
 }
 
@@ -104,13 +110,19 @@
     }
 }
 
-void receive_catalog_reply(session_host_state& state, const catalog_reply& reply) {
+void receive_catalog_reply(session_host_state& state, const catalog_reply& reply, instant now) {
     auto& watch = watch_of(state, reply.collection_id);
     if (!watch.requested || watch.requested->sequence != reply.sequence) {
         return;
     }
     const auto request = *watch.requested;
     watch.requested.reset();
+    watch.relay_failed = false;
+    if (reply.last_change < request.wanted) {
+        log_decision(state, "change_not_relayed", std::string("collection=") + to_string(reply.collection_id));
+        want_list(watch, now);
+        return;
+    }
     relayed_changes changes;
     changes.known = request.known;
     changes.call = state.next_call++;
@@ -140,6 +152,11 @@
     for (auto& watch : state.catalog.watches) {
         if (watch.requested && now - watch.requested->sent >= reply_timeout) {
             watch.requested.reset();
+            watch.relay_failed = true;
+            log_decision(
+                state, "change_not_relayed",
+                std::string("collection=") + to_string(watch.collection_id) + " waited_ms=" + std::to_string(reply_timeout.count),
+                true);
             want_list(watch, now);
         }
     }
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -181,7 +181,7 @@
     void operator()(const catalog_request& request) const {
         receive_catalog_request(this->state, this->from, request, this->now);
     }
-    void operator()(const catalog_reply& reply) const { receive_catalog_reply(this->state, reply); }
+    void operator()(const catalog_reply& reply) const { receive_catalog_reply(this->state, reply, this->now); }
     void operator()(const token_request& request) const {
         // Without recent evidence this host does not know whether it still is a holder.
         const bool is_recent = may_serve(this->state, this->now);
--- a/tests/session_fleet/catalog_relay.tests.cpp
+++ b/tests/session_fleet/catalog_relay.tests.cpp
@@ -108,6 +108,51 @@
     }
 }
 
+// Guards against a host that misses changes for as long as the one host that it asks for them does not get them either.
+TEST_CASE("a host that the store turns away does not depend on one relay parent", "[session-fleet][catalog-relay]") {
+    constexpr std::size_t hosts = 28;
+    session_fleet fleet(fleet_of(hosts));
+    fleet.run_for(start_time);
+    const auto coordinator = fleet.host("host-0").catalog.coordinator->record.host.id;
+    host_id child;
+    for (std::size_t i = 0; i < hosts && child.empty(); ++i) {
+        const auto parent = relay_parent(fleet.host(host_id_of(i)));
+        if (!parent.empty() && parent != coordinator) {
+            child = host_id_of(i);
+        }
+    }
+    REQUIRE_FALSE(child.empty());
+    const auto parent = relay_parent(fleet.host(child));
+    // The parent answers its children, but hears of no change.
+    fleet.cut(parent, "store");
+    for (std::size_t i = 0; i < hosts; ++i) {
+        if (host_id_of(i) != child) {
+            fleet.cut(parent, host_id_of(i));
+        }
+    }
+    fleet.cut(child, "store");
+    publish_version(fleet, 200);
+    fleet.run_for(millis{2500});
+    CHECK(fleet.host(child).catalog.content->version == 200);
+}
+
+// Guards against a wait for changes that no host passes on.
+TEST_CASE("changes that are too large to pass on are read from the store at once", "[session-fleet][catalog-relay]") {
+    constexpr std::size_t hosts = 28;
+    session_fleet fleet(fleet_of(hosts));
+    fleet.run_for(start_time);
+    constexpr std::size_t objects = 20;
+    constexpr std::size_t name_length = 60'000;
+    for (std::size_t i = 0; i < objects; ++i) {
+        fleet.store.put(collection::evacuations, std::string(name_length, static_cast<char>('a' + i)), evacuation_item{});
+    }
+    // A host hears of the change within a report interval of 500 ms; the time limit for another host's reply is 600 ms.
+    fleet.run_for(millis{590});
+    for (std::size_t i = 0; i < hosts; ++i) {
+        CHECK(fleet.host(host_id_of(i)).catalog.evacuated.size() == objects);
+    }
+}
+
 TEST_CASE("hosts ask a tree below the coordinator for changes", "[session-fleet][catalog-relay]") {
     constexpr std::size_t hosts = 90;
     session_fleet fleet(fleet_of(hosts));
@@ -141,7 +186,7 @@
     auto& host = fleet.host("host-3");
     const auto evidence = watch_of(host, collection::document).evidence;
     const auto revision = watch_of(host, collection::document).revision;
-    receive_catalog_reply(host, {12345, collection::document, {true, {}, {}}, 99999, 99999, millis{0}});
+    receive_catalog_reply(host, {12345, collection::document, {true, {}, {}}, 99999, 99999, millis{0}}, fleet.now());
     CHECK(host.actions.empty());
     CHECK(watch_of(host, collection::document).revision == revision);
     CHECK(watch_of(host, collection::document).evidence == evidence);
