Ask the store on a new connection after a call without an answer

What callers could see: a host that misses changes for seconds after its connections to the store have gone silent, as the platform says they may.

Lists and watches now bring their time limit; when it ends, later calls start with a new set of connections. An answer that the adapter has given up is retried like one that the host has given up, at once.

--- a/src/camphorstack/catalog/catalog.hpp
+++ b/src/camphorstack/catalog/catalog.hpp
@@ -81,6 +81,7 @@
     millis wait;                  ///< Watch: the store answers after this time even if nothing has changed.
     std::string text;             ///< Create, replace: new content of the object.
     std::vector<std::string> sources = {};  ///< Decode: the objects.
+    millis answer_timeout{0};               ///< List, watch: time limit for the answer, added to `wait`; 0 for the adapter's own.
 
     friend bool operator==(const catalog_call&, const catalog_call&) = default;
 };
--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -45,7 +45,32 @@
     }
 }
 
+/// Schedules the next list after one that got no answer in time. The call has taken longer than a retry delay, so it is retried
+/// at once unless the evidence is fresh.
+void retry_expired_list(collection_watch& watch, instant now) {
+    const auto delay = record_failure(watch, now);
+    restart_list(watch, has_fresh_evidence(watch, now) ? now + delay : now);
+}
+
+void retry_expired_watch(collection_watch& watch, instant now) {
+    watch.reachable = false;
+    watch.next_watch = now;
+}
+
+millis watch_time_limit(const collection_watch& watch) {
+    return watch.settings.watch_time + watch.settings.answer_timeout;
+}
+
+/// Returns true if the adapter has given the call up at the end of its time limit.
+bool has_expired(const catalog_answer& answer, instant sent, millis limit, instant now) {
+    return answer.status == catalog_status::no_answer && now - sent >= limit;
+}
+
 std::optional<collection_update> receive_list(collection_watch& watch, const catalog_answer& answer, instant sent, instant now) {
+    if (has_expired(answer, sent, watch.settings.answer_timeout, now)) {
+        retry_expired_list(watch, now);
+        return std::nullopt;
+    }
     if (answer.status != catalog_status::done) {
         restart_list(watch, now + record_failure(watch, now));
         return std::nullopt;
@@ -83,6 +108,10 @@
         restart_list(watch, now);
         return std::nullopt;
     }
+    if (has_expired(answer, sent, watch_time_limit(watch), now)) {
+        retry_expired_watch(watch, now);
+        return std::nullopt;
+    }
     if (answer.status != catalog_status::done) {
         watch.next_watch = now + record_failure(watch, now);
         return std::nullopt;
@@ -132,14 +161,11 @@
     std::vector<catalog_call> calls;
     if (timed_out(watch.listing, watch.settings.answer_timeout, now)) {
         watch.listing.reset();
-        const auto delay = record_failure(watch, now);
-        // The timed-out call has taken longer than a retry delay, so it is retried at once unless the evidence is fresh.
-        restart_list(watch, has_fresh_evidence(watch, now) ? now + delay : now);
+        retry_expired_list(watch, now);
     }
-    if (timed_out(watch.watching, watch.settings.watch_time + watch.settings.answer_timeout, now)) {
+    if (timed_out(watch.watching, watch_time_limit(watch), now)) {
         watch.watching.reset();
-        watch.reachable = false;
-        watch.next_watch = now;
+        retry_expired_watch(watch, now);
     }
     const bool evidence_old =
         watch.settings.max_evidence_age > millis{0} && watch.evidence && now - *watch.evidence >= watch.settings.max_evidence_age;
@@ -148,13 +174,28 @@
     if (list_wanted && !watch.listing && now >= watch.next_list) {
         watch.listing = pending_catalog_call{next_id++, now};
         watch.list_wanted = false;
-        calls.push_back({watch.listing->id, watch.collection_id, catalog_operation::list, watch.after, 0, millis{0}, ""});
+        calls.push_back({watch.listing->id,
+                         watch.collection_id,
+                         catalog_operation::list,
+                         watch.after,
+                         0,
+                         millis{0},
+                         "",
+                         {},
+                         watch.settings.answer_timeout});
     }
     const bool watches = watch.settings.watch_time > millis{0};
     if (watches && watch.listed && !watch.watching && now >= watch.next_watch) {
         watch.watching = pending_catalog_call{next_id++, now};
-        calls.push_back({watch.watching->id, watch.collection_id, catalog_operation::watch, "", watch.revision,
-                         watch.settings.watch_time, ""});
+        calls.push_back({watch.watching->id,
+                         watch.collection_id,
+                         catalog_operation::watch,
+                         "",
+                         watch.revision,
+                         watch.settings.watch_time,
+                         "",
+                         {},
+                         watch.settings.answer_timeout});
     }
     return calls;
 }
--- a/tests/platform/object_store.cpp
+++ b/tests/platform/object_store.cpp
@@ -43,12 +43,22 @@
     this->answer_waiting_watches();
 }
 
+void object_store::silence_open_connections() {
+    this->silent_sockets = this->known_sockets;
+}
+
 void object_store::handle(SoupServer* /*server*/, SoupServerMessage* message, const char* path, GHashTable* query,
                           gpointer self) {
     auto* const store = static_cast<object_store*>(self);
     const char* const text = g_uri_get_query(soup_server_message_get_uri(message));
     store->requests.push_back(std::string(soup_server_message_get_method(message)) + " " + path +
                               (text == nullptr ? "" : "?" + std::string(text)) + " " + body_of(message));
+    GSocket* const socket = soup_server_message_get_socket(message);
+    store->known_sockets.insert(socket);
+    if (store->silent_sockets.contains(socket)) {
+        soup_server_message_pause(message);
+        return;
+    }
     store->answer(message, path, query);
 }
 
--- a/tests/platform/object_store.hpp
+++ b/tests/platform/object_store.hpp
@@ -3,6 +3,7 @@
 #include <libsoup/soup.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
     /// Writes an object; `content` is its JSON text.
     void put(const std::string& kind, const std::string& name, const std::string& content);
     void remove(const std::string& kind, const std::string& name);
+    /// Leaves all further calls on the connections that are open now without an answer. New connections work.
+    void silence_open_connections();
 
     struct object {
         std::string content;
@@ -57,6 +60,8 @@
     g_pointer<SoupServer> server;
     std::string bound_address;
     std::uint64_t revision = 10;
+    std::set<GSocket*> known_sockets;   ///< Of all connections so far.
+    std::set<GSocket*> silent_sockets;  ///< Of the connections that get no answer.
     std::vector<waiting_watch> waiting_watches;
     std::map<std::string, std::uint64_t> removed;  ///< Revision of the removal by "KIND/NAME".
 };
--- a/tests/platform/path.tests.cpp
+++ b/tests/platform/path.tests.cpp
@@ -241,6 +241,31 @@
     }
 }
 
+// Guards against a host that tries one silent connection after the other and so misses changes of the store for seconds.
+TEST_CASE("after a call without an answer the store is asked on a new connection", "[platform][store-link]") {
+    object_store store;
+    std::map<std::uint64_t, catalog_answer> answers;
+    platform::store_link link(store.address(), store.address(), millis{5000}, [&](session_host_event event) {
+        const auto answer = std::get<catalog_answer>(event);
+        answers[answer.id] = answer;
+    });
+    catalog_call list{1, collection::endpoints, catalog_operation::list, "", 0, millis{0}, "", {}, millis{200}};
+    constexpr std::uint64_t connections = 4;
+    for (list.id = 1; list.id <= connections; ++list.id) {
+        link.carry_out(list);
+    }
+    REQUIRE(run_until([&] { return answers.size() == connections; }));
+    store.silence_open_connections();
+    list.id = 10;
+    link.carry_out(list);
+    REQUIRE(run_until([&] { return answers.contains(10); }));
+    CHECK(answers.at(10).status == catalog_status::no_answer);
+    list.id = 11;
+    link.carry_out(list);
+    REQUIRE(run_until([&] { return answers.contains(11); }));
+    CHECK(answers.at(11).status == catalog_status::done);
+}
+
 // Guards against hosts that take no change of any endpoint any more, or never become ready, because of one entry of another
 // writer (review/3).
 TEST_CASE("entries of other writers change nothing for callers, for running hosts and for starting ones", "[platform][path]") {
