Drop answers of the store that are older than what is known

The document cannot go back, as versions only rise. Evacuations and endpoints could: a list that was under way while the watch or another host brought a later change was applied whole, and removed what it lacked; a watch's answer with a removal from before a list did the same. Nothing read the change again, as its revision counted as known.

A list or a watch's answer below the known revision is now dropped; a list still proves its time. A change that only the later page of a list shows no longer counts as known, as the earlier pages may lack others; with it a host took over evidence that covered a change which it lacked.

Evidence: both new tests fail with the checks switched off.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -38,10 +38,13 @@
     watch.evidence = std::max(watch.evidence.value_or(sent), sent);
 }
 
-void advance_revisions(collection_watch& watch, store_revision of_store, const std::vector<catalog_item>& items) {
-    watch.seen_revision = std::max(watch.seen_revision, of_store);
+/// Notes the changes of a list or a watch that knows all changes up to `known`. A later page of a list may show changes after
+/// that; they do not count, as the earlier pages may lack others.
+void advance_revisions(collection_watch& watch, store_revision known, const std::vector<catalog_item>& items) {
     for (const auto& item : items) {
-        watch.last_change = std::max(watch.last_change, item.revision);
+        if (item.revision <= known) {
+            watch.last_change = std::max(watch.last_change, item.revision);
+        }
     }
 }
 
@@ -90,14 +93,20 @@
     const auto first_sent = watch.listing_sent;
     const bool is_periodic = watch.settings.list_interval > millis{0};
     restart_list(watch, is_periodic ? first_sent + watch.settings.list_interval : now);
+    const bool is_outdated = watch.listed && watch.listing_revision < watch.revision;
     // A watch in flight continues from its own revision; it may report changes again that the list already contained.
     watch.revision = std::max(watch.revision, watch.listing_revision);
+    watch.seen_revision = std::max(watch.seen_revision, watch.listing_revision);
     if (!watch.listed) {
         watch.listed = true;
         watch.next_watch = now;
     }
     advance_evidence(watch, first_sent);
     advance_revisions(watch, watch.listing_revision, update.items);
+    if (is_outdated) {
+        // Changes that arrived while the list was under way are missing from it.
+        return std::nullopt;
+    }
     return update;
 }
 
@@ -119,12 +128,13 @@
     record_answer(watch);
     watch.next_watch = now;
     advance_evidence(watch, sent - watch_blind_time);
-    // The revision of the store proves nothing here: an answer to a watch may lack changes before that revision.
-    advance_revisions(watch, 0, answer.items);
-    if (answer.items.empty() && answer.removed.empty()) {
+    // Without changes the revision of the store proves nothing: such an answer may lack changes before that revision. A list or
+    // another host may have brought later changes while the answer was under way.
+    if ((answer.items.empty() && answer.removed.empty()) || answer.revision < watch.revision) {
         return std::nullopt;
     }
-    watch.revision = std::max(watch.revision, answer.revision);
+    advance_revisions(watch, answer.revision, answer.items);
+    watch.revision = answer.revision;
     if (!answer.removed.empty()) {
         // The answer does not carry the revision of each removal; the store's revision is an upper bound.
         watch.last_change = std::max(watch.last_change, answer.revision);
@@ -146,7 +156,7 @@
     changes->update.items = answer.items;
     watch.revision = std::max(watch.revision, changes->revision);
     watch.last_change = std::max(watch.last_change, changes->last_change);
-    advance_revisions(watch, 0, answer.items);
+    advance_revisions(watch, watch.revision, answer.items);
     advance_evidence(watch, changes->evidence);
     return std::move(changes->update);
 }
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -79,6 +79,46 @@
     CHECK(due_calls(watch, next, instant{1100})[0].revision == 95);
 }
 
+// Guards against objects that come back, or vanish, when an answer arrives after a later one.
+TEST_CASE("an answer that is older than what is known changes nothing", "[collection-watch]") {
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    receive_answer(watch, answer_to(due_calls(watch, next, instant{0})[0], 40, {item("a", 30)}), instant{5});
+    const auto watching = due_calls(watch, next, instant{10})[0];
+    want_list(watch, instant{20});
+    const auto listing = due_calls(watch, next, instant{20})[0];
+    REQUIRE(listing.operation == catalog_operation::list);
+    SECTION("a list that lacks a change that the watch has reported") {
+        REQUIRE(receive_answer(watch, answer_to(watching, 60, {item("b", 60)}), instant{30}));
+        CHECK_FALSE(receive_answer(watch, answer_to(listing, 50, {item("a", 30)}), instant{40}));
+        CHECK(watch.evidence == instant{20});
+        CHECK(due_calls(watch, next, instant{40}).at(0).revision == 60);
+    }
+    SECTION("a watch that reports a removal from before the list") {
+        REQUIRE(receive_answer(watch, answer_to(listing, 60, {item("a", 55)}), instant{30}));
+        auto removal = answer_to(watching, 50);
+        removal.removed = {"a"};
+        CHECK_FALSE(receive_answer(watch, removal, instant{40}));
+        CHECK(due_calls(watch, next, instant{40}).at(0).revision == 60);
+    }
+}
+
+// Guards against evidence that covers a change which happened between two pages of a list.
+TEST_CASE("a change between the pages of a list is not taken as known", "[collection-watch]") {
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    auto page = answer_to(due_calls(watch, next, instant{0})[0], 40, {item("a", 5)});
+    page.more = true;
+    receive_answer(watch, page, instant{5});
+    REQUIRE(receive_answer(watch, answer_to(due_calls(watch, next, instant{5})[0], 60, {item("b", 55)}), instant{10}));
+    // The other host also knows of a change of "a" at revision 50.
+    const collection_evidence reported{collection::evacuations, 55, millis{10}};
+    CHECK(lacks_change(watch, reported));
+    receive_evidence(watch, reported, instant{500}, instant{510});
+    CHECK(watch.evidence == instant{0});
+    CHECK(watch.list_wanted);
+}
+
 TEST_CASE("lost answers, refusals and dropped history lead to new calls", "[collection-watch]") {
     auto watch = make_watch();
     std::uint64_t next = 1;
