Give answers of the store that have begun to arrive time for the rest

What callers could see: a host with a slow link never takes a large document over. The store allows objects of 1 MiB; over a link of 10 Mbit/s, the slowest in the grown deployments, one takes 0.84 s, and a list was given up after 0.7 s and begun anew, without end.

The time limit for lists and watches is now that until the answer begins. The adapter reports when it does, and the rest has 4.2 s more: 1 MiB over 2 Mbit/s. Writes and promotions are as before.

Evidence: 'an answer that has begun gets time for the rest of it' fails with the extension switched off.

--- a/src/camphorstack/catalog/catalog.hpp
+++ b/src/camphorstack/catalog/catalog.hpp
@@ -81,7 +81,7 @@
     millis wait;                  ///< Watch: the store answers after this time even if nothing has changed.
     std::string text;             ///< Create, replace: new content of the object.
     std::vector<std::string> sources = {};  ///< Decode: the objects.
-    millis answer_timeout{0};               ///< List, watch: time limit for the answer, added to `wait`; 0 for the adapter's own.
+    millis answer_timeout{0};  ///< List, watch: time limit until the answer begins, after `wait`; 0 for the adapter's own.
 
     friend bool operator==(const catalog_call&, const catalog_call&) = default;
 };
@@ -97,6 +97,13 @@
 
 [[nodiscard]] const char* to_string(catalog_status value);
 
+/// The first part of the store's answer to a list or a watch has arrived. A large answer may take long after that.
+struct catalog_answer_begun {
+    std::uint64_t id = 0;  ///< Of the call.
+
+    friend bool operator==(const catalog_answer_begun&, const catalog_answer_begun&) = default;
+};
+
 /// The store's answer to a call.
 struct catalog_answer {
     std::uint64_t id = 0;  ///< Of the call.
--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -161,8 +161,9 @@
     return std::move(changes->update);
 }
 
+/// `limit` is that until the answer begins.
 bool timed_out(const std::optional<pending_catalog_call>& open, millis limit, instant now) {
-    return open && now - open->sent >= limit;
+    return open && now - open->sent >= limit + (open->begun ? answer_transfer_timeout : millis{0});
 }
 
 }  // namespace
@@ -260,6 +261,14 @@
     }
 }
 
+void receive_answer_begun(collection_watch& watch, const catalog_answer_begun& begun) {
+    for (auto* const open : {&watch.listing, &watch.watching}) {
+        if (*open && (*open)->id == begun.id) {
+            (*open)->begun = true;
+        }
+    }
+}
+
 std::optional<collection_update> receive_answer(collection_watch& watch, const catalog_answer& answer, instant now) {
     if (watch.decoding && watch.decoding->call == answer.id) {
         return receive_decoded(watch, answer, now);
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -14,11 +14,14 @@
 /// "watches hear nothing for a second"), so an answer to a watch proves nothing about this time before it was requested.
 constexpr millis watch_blind_time{1000};
 
+/// Added to the time limit of an answer that has begun to arrive: the store's largest object, 1 MiB, over a link of 2 Mbit/s.
+constexpr millis answer_transfer_timeout{4200};
+
 /// Intervals and time limits for following one collection.
 struct collection_watch_settings {
     millis watch_time;      ///< The store answers a watch after this time even without changes; 0 for no watch.
     millis list_interval;   ///< Between lists of the whole collection; 0 to list only when needed.
-    millis answer_timeout;  ///< Time limit for an answer; for a watch it is added to `watch_time`.
+    millis answer_timeout;  ///< Time limit until an answer begins; for a watch it is added to `watch_time`.
     millis retry_interval;  ///< Before the retry of a failed call. Doubles with each failure in a row.
     millis
         max_evidence_age;  ///< The collection is listed again when its evidence is older, as watches may miss changes; 0: never.
@@ -32,6 +35,7 @@
 struct pending_catalog_call {
     std::uint64_t id = 0;
     instant sent;
+    bool begun = false;  ///< The answer has begun to arrive.
 
     friend bool operator==(const pending_catalog_call&, const pending_catalog_call&) = default;
 };
@@ -131,6 +135,9 @@
 /// Schedules a list.
 void want_list(collection_watch& watch, instant now);
 
+/// Gives a pending call whose answer has begun time for the rest of it.
+void receive_answer_begun(collection_watch& watch, const catalog_answer_begun& begun);
+
 /// Handles an answer to a pending call. Returns the changes that it completes, if any.
 std::optional<collection_update> receive_answer(collection_watch& watch, const catalog_answer& answer, instant now);
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -222,6 +222,11 @@
     }
     void operator()(const endpoint_connection_ended& event) const { on_connection_ended(this->state.executor, event, this->now); }
     void operator()(const endpoint_reply_received& event) const { on_endpoint_reply(this->state.executor, event, this->now); }
+    void operator()(const catalog_answer_begun& begun) const {
+        for (auto& watch : this->state.catalog.watches) {
+            receive_answer_begun(watch, begun);
+        }
+    }
     void operator()(const catalog_answer& answer) const { receive_catalog_answer(this->state, answer, this->now); }
     void operator()(const promotion_answer& answer) const { receive_promotion_answer(this->state, answer, this->now); }
     void operator()(const peer_message& message) const {
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -79,6 +79,23 @@
     CHECK(due_calls(watch, next, instant{1100})[0].revision == 95);
 }
 
+// Guards against a large document that a host with a slow link never reads whole.
+TEST_CASE("an answer that has begun gets time for the rest of it", "[collection-watch]") {
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    const auto listing = due_calls(watch, next, instant{0})[0];
+    receive_answer_begun(watch, {listing.id});
+    CHECK(due_calls(watch, next, instant{4000}).empty());
+    SECTION("and is taken") {
+        CHECK(receive_answer(watch, answer_to(listing, 40, {item("a", 30)}), instant{4100}));
+        CHECK(watch.evidence == instant{0});
+    }
+    SECTION("but not without end") {
+        CHECK(due_calls(watch, next, instant{500} + answer_transfer_timeout).size() == 1);
+        CHECK_FALSE(owns_call(watch, listing.id));
+    }
+}
+
 // Guards against objects that come back, or vanish, when an answer arrives after a later one.
 TEST_CASE("an answer that is older than what is known changes nothing", "[collection-watch]") {
     auto watch = make_watch();
