--- a/src/camphorstack/cli/request_trace.cpp
+++ b/src/camphorstack/cli/request_trace.cpp
@@ -11,17 +11,18 @@
 namespace {
 
 /// Lines from this long before a request's first line are included, since the host's state at that time may have decided the
-/// outcome; evidence of the store expires after 3.9 s.
+/// outcome; evidence of the document expires after 4.9 s.
 constexpr std::int64_t window_before_ms = 6000;
 /// Lines up to this long after a request's first line are included. The first line is written when the operation ends, which can
 /// be this long after the operation began, and the host may notice only later which fault the operation met.
 constexpr std::int64_t window_after_ms = 1500;
 
 /// Events that change a host's state for all requests.
-const std::set<std::string> host_events{
-    "store_lost",       "store_reached",  "serving_stopped",   "serving_started",     "peer_lost",       "peer_regained",
-    "host_started",     "stop_requested", "stopped",           "host_ended",          "members_adopted", "coordinator_adopted",
-    "document_adopted", "settings_taken", "settings_reloaded", "evacuations_changed", "duty_taken",      "duty_lost"};
+const std::set<std::string> host_events{"store_lost",       "store_reached",  "serving_stopped",   "serving_started",
+                                        "peer_lost",        "peer_regained",  "host_started",      "stop_requested",
+                                        "stopped",          "host_ended",     "members_adopted",   "coordinator_adopted",
+                                        "document_adopted", "settings_taken", "settings_reloaded", "evacuations_changed",
+                                        "duty_taken",       "duty_lost",      "change_reported",   "change_not_relayed"};
 
 struct log_line {
     std::string text;
--- a/tests/cli/request_trace.tests.cpp
+++ b/tests/cli/request_trace.tests.cpp
@@ -46,3 +46,17 @@
         "Dec 04 14:00:01 front-1 camphorstack[7]: t=60 event=request_failed request=77 code=busy\n"};
     CHECK(trace_request({collected}, "77").size() == 2);
 }
+
+TEST_CASE("a refused request's trace tells which newer document its host had heard of", "[explain][request-story]") {
+    const process_log log{
+        "b.log",
+        "t=100 event=change_reported collection=document from=a change=90 known=80\n"
+        "t=700 event=change_not_relayed collection=document waited_ms=600\n"
+        "t=800 event=access_refused request=9f database=route code=busy document=4 evidence_ms=2100 behind_ms=700\n"
+        "t=900 event=document_adopted version=5 previous=4 evidence_ms=12 behind_ms=800\n"};
+    const auto trace = trace_request({log}, "9f");
+    REQUIRE(trace.size() == 4);
+    CHECK_THAT(trace[0].text, Catch::Contains("change=90"));
+    CHECK_THAT(trace[1].text, Catch::Contains("waited_ms=600"));
+    CHECK_THAT(trace[3].text, Catch::Contains("version=5"));
+}
