--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -18,6 +18,7 @@
 ZONES = {"amman-a": "amman", "irbid-a": "irbid", "aqaba-a": "aqaba"}
 GRACE_PERIOD_S = 6
 REVOCATION_MS = 5000
+CONFIGURATION_APPLY_MS = 3000
 
 
 def render(template, fields):
@@ -82,7 +83,8 @@
                 "NodeName": host.name, "Zone": host.zone, "IpAddress": LOOPBACK, "InternalPorts": ports[:2], "Zones": ZONES,
                 "Listen": {"Front": f"{LOOPBACK}:{ports[2]}", "Ready": f"{LOOPBACK}:{ports[3]}"},
                 "platform": {"Address": await self.store.listen_for(host.name)}, "Cloud": {"Address": self.cloud_address},
-                "Bounds": {"GracePeriodS": GRACE_PERIOD_S, "RevocationMs": REVOCATION_MS}}
+                "Bounds": {"GracePeriodS": GRACE_PERIOD_S, "RevocationMs": REVOCATION_MS,
+                           "ConfigurationApplyMs": CONFIGURATION_APPLY_MS}}
             host.callers, host.ready = fields["Listen"]["Front"], fields["Listen"]["Ready"]
             host.settings = os.path.join(self.folder, host.name + ".yaml")
             with open(host.settings, "w", encoding="utf-8") as file:
