Show that fields are cut at a line feed and that repeated answers go to other callers

The stand-in of an instance read with the product's own parser, so both made the same mistake and no test saw it.

- The stand-in now has a reader of its own, message_connection, which ends a message at CR LF only, and can send each answer twice: at once, before the next answer, or after it.
- The database model gives each statement a proof of its own ("proof-" and the id), where all had the same one, and keeps blanks in data.
The tests that compared with the one proof now compare with the statement's own.
- platform_fixture moved out of path.tests.cpp so that the new tests can use it.

No logic is changed.

--- a/tests/platform/path.tests.cpp
+++ b/tests/platform/path.tests.cpp
@@ -1,114 +1,29 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
-#include "camphorstack/session_host/session_host_task.hpp"
 #include "links/raw_client.hpp"
-#include "links/run_main_loop.hpp"
 #include "platform/object_store.hpp"
-#include "platform/platform_links.hpp"
+#include "platform/platform_fixture.hpp"
 #include "platform/store_link.hpp"
-#include "platform/wire_instance.hpp"
 
 using namespace camphorstack;
 using namespace camphorstack::platform_tests;
 using camphorstack::tests::run_for;
 using camphorstack::tests::run_until;
 
-namespace {
-
-/// One session host on loopback, with stand-ins for the store and for a database of two instances.
-struct platform_fixture {
-    platform_fixture() {
-        this->settings.host.self = {"front-1", "127.0.0.1:0", "127.0.0.1:0", "amman-a"};
-        this->settings.host.nonce = "first";
-        this->settings.host.regions = {{"amman-a", "amman"}};
-        this->settings.readiness_address = "127.0.0.1:0";
-        this->settings.metrics_address = "127.0.0.1:0";
-        this->settings.store_address = this->store.address();
-        this->settings.promotion_address = this->store.address();
-        this->settings.fleet_secret = "a secret of the tests";
-        this->publish("first-key");
-        this->put_instance(this->primary, "primary");
-        this->put_instance(this->replica, "replica");
-        this->start();
-    }
-
-    void start() {
-        const auto make_links = [this](const session_event_sink& sink, monitoring_callbacks callbacks) {
-            this->monitoring = callbacks;
-            auto opened = std::make_unique<platform::platform_links>(this->settings, sink, std::move(callbacks));
-            this->callers = opened->callers_address();
-            return opened;
-        };
-        this->task = std::make_unique<session_host_task>(
-            make_session_host(this->settings.host, random_source(1), this->time.now()), make_links, this->time,
-            [](const decision_line&) {}, [this] { this->stopped = true; });
-        REQUIRE(run_until([this] { return this->monitoring.is_ready(); }));
-        // The host gets its tokens with the first member list.
-        run_for(millis{700});
-    }
-
-    /// Ends the host and starts another process of it, which knows only what the store holds.
-    void restart() {
-        this->task.reset();
-        this->settings.host.nonce = "second";
-        this->start();
-        REQUIRE(run_until([this] { return this->owns_leases(); }));
-    }
-
-    bool owns_leases() const {
-        return this->monitoring.metrics().find("camphorstack_endpoint_queue{endpoint=\"db-0\"}") != std::string::npos;
-    }
-
-    void publish(const std::string& key) {
-        this->store.put("config", "main",
-                        R"({"Version":)" + std::to_string(++this->version) +
-                            R"(,"Routes":[{"Name":"r","Host":"books","Kind":"primary","Service":"db","TimeoutMs":500,)"
-                            R"("TargetLatencyMs":300,"MaxStalenessMs":)" +
-                            this->staleness +
-                            R"(}],"Services":[{"Name":"db","MaxConnections":16}],)"
-                            R"("Tenants":[{"Name":"counters","ApiKeys":[")" +
-                            key + R"("],"RatePerS":1000,"Burst":1000}]})");
-    }
-
-    void put_instance(const wire_instance& instance, const std::string& role) {
-        const auto id = &instance == &this->primary ? "db-0" : "db-1";
-        this->store.put("servers", id,
-                        R"({"Service":"db","Address":")" + instance.address() +
-                            R"(","Zone":"amman-a","Version":"v1","Slots":2,"State":"ready","ColdRemainingMs":0,)" +
-                            R"("Sequence":1,"DatabaseRole":")" + role + R"("})");
-    }
-
-    suspend_aware_clock time;
-    fd_watcher sockets;
-    object_store store;
-    session_tests::database_model model{"db", {"amman-a", "amman-a"}};
-    wire_instance primary{this->sockets, this->model, "db-0"};
-    wire_instance replica{this->sockets, this->model, "db-1"};
-    session_settings settings;
-    int version = 0;
-    std::string staleness = "1000";
-    monitoring_callbacks monitoring;
-    std::string callers;
-    bool stopped = false;
-    std::unique_ptr<session_host_task> task;
-};
-
-}  // namespace
-
 TEST_CASE("a caller's statements pass through real sockets to an instance and back", "[platform][path]") {
     platform_fixture system;
     raw_client caller(system.callers);
     caller.send("START books first-key\r\n");
     REQUIRE(caller.wait_for("READY I -\r\n"));
     caller.send("QUERY q1 WRITE item value\r\n");
-    REQUIRE(caller.wait_for("DONE proof\r\nREADY I 1.1\r\n"));
+    REQUIRE(caller.wait_for("DONE proof-q1\r\nREADY I 1.1\r\n"));
     caller.send("QUERY q2 READ item\r\n");
-    REQUIRE(caller.wait_for("ROW value\r\nDONE proof\r\n"));
+    REQUIRE(caller.wait_for("ROW value\r\nDONE proof-q2\r\n"));
     // Pipelined statements are answered in order.
     caller.send("QUERY q3 PREPARE s READ shape\r\nQUERY q4 EXECUTE s item\r\nQUERY q5 BEGIN\r\nQUERY q6 COMMIT\r\n");
     REQUIRE(caller.wait_for(
-        "DONE -\r\nREADY I -\r\nROW value\r\nDONE proof\r\nREADY I 1.1\r\nDONE -\r\nREADY T -\r\nDONE proof\r\n"));
+        "DONE -\r\nREADY I -\r\nROW value\r\nDONE proof-q4\r\nREADY I 1.1\r\nDONE -\r\nREADY T -\r\nDONE proof-q6\r\n"));
     caller.send("QUERY q7 STATUS\r\n");
     REQUIRE(caller.wait_for("ERROR MALFORMED"));
     for (const auto& line : system.primary.lines) {
@@ -292,7 +207,7 @@
     caller.send("START books first-key\r\n");
     REQUIRE(caller.wait_for("READY I -\r\n"));
     caller.send("QUERY q1 WRITE item value\r\n");
-    CHECK(caller.wait_for("DONE proof\r\n"));
+    CHECK(caller.wait_for("DONE proof-q1\r\n"));
 }
 
 // Guards against a fleet that cannot start because of a large number in the document (review/5).
--- /dev/null
+++ b/tests/platform/repeated_answers.tests.cpp
@@ -0,0 +1,69 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "links/raw_client.hpp"
+#include "platform/platform_fixture.hpp"
+
+using namespace camphorstack;
+using namespace camphorstack::platform_tests;
+
+namespace {
+
+void open_session(raw_client& caller) {
+    caller.send("START books first-key\r\n");
+    REQUIRE(caller.wait_for("READY I -\r\n"));
+}
+
+std::string ask(raw_client& caller, const std::string& query) {
+    caller.received.clear();
+    caller.send("QUERY " + query + "\r\n");
+    REQUIRE(caller.wait_for("\r\nREADY "));
+    return caller.received;
+}
+
+}  // namespace
+
+TEST_CASE("an answer that an instance sends twice is not taken for another statement's answer", "[platform][repeated-answers]") {
+    platform_fixture system;
+    const auto repetition = GENERATE(answer_repetition::at_once, answer_repetition::before_next, answer_repetition::after_next);
+    CAPTURE(static_cast<int>(repetition));
+    system.primary.repetition = repetition;
+    raw_client first(system.callers);
+    raw_client second(system.callers);
+    open_session(first);
+    open_session(second);
+    for (int i = 0; i < 20; ++i) {
+        const auto number = std::to_string(i);
+        CAPTURE(number);
+        CHECK(ask(first, "w" + number + " WRITE item " + number).starts_with("DONE proof-w" + number + "\r\n"));
+        CHECK(ask(second, "r" + number + " READ other").starts_with("ROW none\r\nDONE proof-r" + number + "\r\n"));
+        CHECK(ask(first, "s" + number + " READ item").starts_with("ROW " + number + "\r\nDONE proof-s" + number + "\r\n"));
+    }
+}
+
+TEST_CASE("repeated answers to session values and BEGIN and ROLLBACK change nothing for transactions",
+          "[platform][repeated-answers]") {
+    platform_fixture system;
+    system.primary.repetition =
+        GENERATE(answer_repetition::at_once, answer_repetition::before_next, answer_repetition::after_next);
+    CAPTURE(static_cast<int>(system.primary.repetition));
+    raw_client caller(system.callers);
+    open_session(caller);
+    for (int i = 0; i < 10; ++i) {
+        const auto number = std::to_string(i);
+        CAPTURE(number);
+        REQUIRE(ask(caller, "v" + number + " SET zone " + number).starts_with("DONE -\r\n"));
+        REQUIRE(ask(caller, "p" + number + " PREPARE s WRITE shape" + number).starts_with("DONE -\r\n"));
+        REQUIRE(ask(caller, "b" + number + " BEGIN").starts_with("DONE -\r\nREADY T"));
+        CHECK(ask(caller, "e" + number + " EXECUTE s item " + number).starts_with("DONE proof-e" + number + "\r\nREADY T"));
+        CHECK(ask(caller, "r" + number + " READ other").starts_with("ROW none\r\nDONE proof-r" + number + "\r\nREADY T"));
+        if (i % 3 == 2) {
+            CHECK(ask(caller, "x" + number + " ROLLBACK").starts_with("DONE -\r\nREADY I"));
+        } else {
+            CHECK(ask(caller, "c" + number + " COMMIT").starts_with("DONE proof-c" + number + "\r\nREADY I"));
+        }
+        REQUIRE_FALSE(system.model.runs.empty());
+        CHECK(system.model.runs.back().values == std::map<std::string, std::string>{{"zone", number}});
+    }
+    CHECK(ask(caller, "last READ item").starts_with("ROW 9\r\nDONE proof-last\r\n"));
+}
--- a/tests/platform/wire_instance.cpp
+++ b/tests/platform/wire_instance.cpp
@@ -1,5 +1,7 @@
 #include "platform/wire_instance.hpp"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 
 #include "camphorstack/support/socket_address.hpp"
@@ -86,17 +88,17 @@
 void wire_instance::accept_pending() {
     while (auto opened = g_adopt(g_socket_accept(this->listener.get(), nullptr, nullptr))) {
         const auto id = this->next_id++;
-        line_socket::callbacks calls{
-            {}, [this, id](std::string_view line) { this->on_line(id, line); }, [](line_socket_close_reason) {}};
-        this->connections[id].socket =
-            std::make_unique<line_socket>(this->watcher, std::move(opened), line_socket::limits{}, std::move(calls));
+        // The stand-in's connection owns the descriptor from here on.
+        const int connected = dup(g_socket_get_fd(opened.get()));
+        this->connections[id].socket = std::make_unique<message_connection>(
+            this->watcher, connected, [this, id](std::string_view message) { this->on_message(id, message); });
     }
 }
 
-void wire_instance::on_line(connection_id id, std::string_view line) {
-    this->lines.emplace_back(line);
+void wire_instance::on_message(connection_id id, std::string_view message) {
+    this->lines.emplace_back(message);
     auto& from = this->connections.at(id);
-    auto rest = line;
+    auto rest = message;
     const auto word = take_word(rest);
     auto& instance = this->model.instances.at(this->own_id);
     if (word == "START") {
@@ -108,15 +110,32 @@
             return;
         }
         instance.connections[id] = {std::string(workspace), {}, {}, std::nullopt};
-        from.started = true;
-        from.socket->write("READY I -\r\n");
+        this->answer(from, "READY I -\r\n");
         return;
     }
     REQUIRE(word == "QUERY");
     const auto reply = this->model.run(instance, id, parse_query(rest), instant{});
     if (!this->drops_replies) {
-        from.socket->write(reply_lines(reply));
+        this->answer(from, reply_lines(reply));
+    }
+}
+
+void wire_instance::answer(connection& asked, const std::string& messages) {
+    switch (this->repetition) {
+        case answer_repetition::none:
+            asked.socket->write(messages);
+            break;
+        case answer_repetition::at_once:
+            asked.socket->write(messages + messages);
+            break;
+        case answer_repetition::before_next:
+            asked.socket->write(asked.last_answer + messages);
+            break;
+        case answer_repetition::after_next:
+            asked.socket->write(messages + asked.last_answer);
+            break;
     }
+    asked.last_answer = messages;
 }
 
 }  // namespace camphorstack::platform_tests
--- a/tests/platform/wire_instance.hpp
+++ b/tests/platform/wire_instance.hpp
@@ -1,16 +1,24 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "camphorstack/links/line_socket.hpp"
-#include "camphorstack/support/deferred_calls.hpp"
+#include "platform/message_connection.hpp"
 #include "session_fleet/database_model.hpp"
 
 namespace camphorstack::platform_tests {
 
+/// When an instance that stutters sends an answer for the second time.
+enum class answer_repetition : std::uint8_t {
+    none,
+    at_once,      ///< Directly after the first time.
+    before_next,  ///< Before the answer to the next statement on the connection, so that the repeated one is read in its place.
+    after_next,   ///< After the answer to the next statement.
+};
+
 /// Stand-in for a database instance that speaks the platform's protocol over TCP on loopback.
 class wire_instance {
 public:
@@ -24,17 +32,19 @@
 
     [[nodiscard]] std::string address() const;
 
-    std::vector<std::string> lines;  ///< All lines received.
+    std::vector<std::string> lines;  ///< All messages received, without their CR LF.
     bool drops_replies = false;      ///< Statements are executed but not answered.
+    answer_repetition repetition = answer_repetition::none;
 
 private:
     struct connection {
-        std::unique_ptr<line_socket> socket;
-        bool started = false;
+        std::unique_ptr<message_connection> socket;
+        std::string last_answer;  ///< Not yet repeated.
     };
 
     void accept_pending();
-    void on_line(connection_id id, std::string_view line);
+    void on_message(connection_id id, std::string_view message);
+    void answer(connection& asked, const std::string& messages);
 
     fd_watcher& watcher;
     session_tests::database_model& model;
--- a/tests/session_fleet/database_model.cpp
+++ b/tests/session_fleet/database_model.cpp
@@ -7,15 +7,22 @@
 
 namespace {
 
-std::vector<std::string> words_of(const std::string& text) {
-    std::vector<std::string> words;
+/// Splits a statement's text at its first blanks into at most `limit` fields. The last field extends to the end of the text.
+std::vector<std::string> fields_of(const std::string& text, std::size_t limit) {
+    std::vector<std::string> fields;
     std::size_t start = 0;
-    while (start <= text.size()) {
-        const auto end = std::min(text.find(' ', start), text.size());
-        words.push_back(text.substr(start, end - start));
+    while (fields.size() + 1 < limit && text.find(' ', start) != std::string::npos) {
+        const auto end = text.find(' ', start);
+        fields.push_back(text.substr(start, end - start));
         start = end + 1;
     }
-    return words;
+    fields.push_back(text.substr(start));
+    return fields;
+}
+
+/// Returns a proof that no other statement's answer has.
+std::string proof_of(const endpoint_statement& ended) {
+    return "proof-" + ended.id;
 }
 
 log_position end_of(const instance_model& instance) {
@@ -83,7 +90,7 @@
     return reply;
 }
 
-endpoint_reply database_model::commit(instance_model& instance, instance_connection& /*connection*/, open_transaction ended) {
+endpoint_reply database_model::commit(instance_model& instance, const endpoint_statement& requested, open_transaction ended) {
     if (!ended.writes.empty()) {
         if (!instance.primary) {
             return error_reply(result_code::read_only);
@@ -93,7 +100,7 @@
         instance.applied = instance.log.size();
     }
     endpoint_reply reply;
-    reply.proof = "proof";
+    reply.proof = proof_of(requested);
     return reply;
 }
 
@@ -138,33 +145,35 @@
         case endpoint_command::execute:
             break;
     }
-    const auto words = words_of(requested.text);
     const bool executes = requested.command == endpoint_command::execute;
+    const auto word = fields_of(requested.text, 2).front();
     if (executes && !connection.prepared.contains(requested.name)) {
         return error_reply(result_code::no_statement);
     }
-    if (!executes && words[0] == "COMMIT") {
+    if (!executes && word == "COMMIT") {
         auto ended = std::move(*std::exchange(connection.transaction, std::nullopt));
         ended.statement_ids.push_back(requested.id);
-        return this->commit(instance, connection, std::move(ended));
+        return this->commit(instance, requested, std::move(ended));
     }
-    const bool writes = executes ? connection.prepared.at(requested.name) : words[0] == "WRITE";
-    const auto item = executes ? words[0] : words[1];
+    const bool writes = executes ? connection.prepared.at(requested.name) : word == "WRITE";
+    // A read's item extends to the end of the text, as the data of a write does.
+    const auto arguments = fields_of(executes ? requested.text : fields_of(requested.text, 2).back(), writes ? 2 : 1);
+    const auto& item = arguments.front();
     if (writes && (!instance.primary || (connection.transaction && connection.transaction->read_only))) {
         return error_reply(result_code::read_only);
     }
     this->runs.push_back({now, instance.entry.id, requested.id, connection.workspace, writes, connection.values});
     endpoint_reply reply;
-    reply.proof = "proof";
+    reply.proof = proof_of(requested);
     if (!writes) {
         reply.rows.push_back(read_item(instance, item));
         return reply;
     }
     open_transaction own;
     auto& transaction = connection.transaction ? *connection.transaction : own;
-    transaction.writes.emplace_back(item, executes ? words.at(1) : words.at(2));
+    transaction.writes.emplace_back(item, arguments.at(1));
     transaction.statement_ids.push_back(requested.id);
-    return connection.transaction ? reply : this->commit(instance, connection, std::move(own));
+    return connection.transaction ? reply : this->commit(instance, requested, std::move(own));
 }
 
 void database_model::replicate(const std::set<endpoint_id>& unreachable) {
--- a/tests/session_fleet/database_model.hpp
+++ b/tests/session_fleet/database_model.hpp
@@ -81,7 +81,7 @@
     std::vector<observed_run> runs;
 
 private:
-    endpoint_reply commit(instance_model& instance, instance_connection& connection, open_transaction ended);
+    endpoint_reply commit(instance_model& instance, const endpoint_statement& requested, open_transaction ended);
     endpoint_reply run_statement(instance_model& instance, instance_connection& connection, const endpoint_statement& requested,
                                  instant now);
 
--- a/tests/session_fleet/sessions.tests.cpp
+++ b/tests/session_fleet/sessions.tests.cpp
@@ -44,7 +44,7 @@
         const auto writer = fleet.connect("host-0", session_fleet::route_name(database, consistency::primary), "key-1");
         const auto written = fleet.ask(writer, write_statement("w" + std::to_string(database), "book", "serial"));
         CHECK(written.code == result_code::none);
-        CHECK(written.proof == "proof");
+        CHECK(written.proof == "proof-w" + std::to_string(database));
         for (const auto kind : {consistency::primary, consistency::bounded_staleness, consistency::read_your_writes}) {
             const auto reader = fleet.connect("host-5", session_fleet::route_name(database, kind), "key-2");
             CHECK(fleet.ask(reader, read_statement("r", "book")).code == result_code::none);
@@ -114,13 +114,13 @@
         CHECK(fleet.ask(session, write_statement("w2", "b", "2")).state == session_state::in_transaction);
         const auto committed = fleet.ask(session, plain_statement("c", statement_kind::commit, "COMMIT"));
         CHECK(committed.code == result_code::none);
-        CHECK(committed.proof == "proof");
+        CHECK(committed.proof == "proof-c");
         CHECK(committed.state == session_state::idle);
         CHECK(fleet.ask(other, read_statement("r1", "b")).rows == std::vector<std::string>{"2"});
     }
     SECTION("a commit without a statement is answered by the endpoint") {
         fleet.ask(session, begin);
-        CHECK(fleet.ask(session, plain_statement("c", statement_kind::commit, "COMMIT")).proof == "proof");
+        CHECK(fleet.ask(session, plain_statement("c", statement_kind::commit, "COMMIT")).proof == "proof-c");
     }
     SECTION("rollback") {
         fleet.ask(session, begin);
