Log and count replies that are not the awaited answer, and messages that are not understood

The executor now compares each reply with the answer that its connection waits for (answer_matching): a proof that was delivered for another statement, a confirmation without a proof where a statement's answer is due, or a state that cannot follow. It only records the finding (stray_answer, camphorstack_stray_answers_total); what is done with the reply is unchanged. Callers' messages that are not understood are logged (statement_refused, message_refused) and counted.

--- /dev/null
+++ b/src/camphorstack/executors/answer_matching.cpp
@@ -0,0 +1,99 @@
+#include "camphorstack/executors/answer_matching.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace camphorstack {
+
+namespace {
+
+bool is_confirmation(const endpoint_reply& reply, session_state expected) {
+    return !reply.status && reply.rows.empty() && reply.state == expected;
+}
+
+/// Returns true if a success without a proof may answer what is awaited. Callers' statements always get a proof.
+bool fits_without_proof(const endpoint_reply& reply, awaited_answer awaited, bool in_transaction) {
+    switch (awaited) {
+        case awaited_answer::setup:
+            return is_confirmation(reply, in_transaction ? session_state::in_transaction : session_state::idle);
+        case awaited_answer::begin:
+            return is_confirmation(reply, session_state::in_transaction);
+        case awaited_answer::rollback:
+            return is_confirmation(reply, session_state::idle);
+        case awaited_answer::status:
+            return reply.status.has_value();
+        case awaited_answer::none:
+        case awaited_answer::statement:
+            return false;
+    }
+    return false;
+}
+
+}  // namespace
+
+const char* to_string(awaited_answer awaited) {
+    switch (awaited) {
+        case awaited_answer::none:
+            return "none";
+        case awaited_answer::setup:
+            return "setup";
+        case awaited_answer::begin:
+            return "begin";
+        case awaited_answer::rollback:
+            return "rollback";
+        case awaited_answer::statement:
+            return "statement";
+        case awaited_answer::status:
+            return "status";
+    }
+    return "?";
+}
+
+const char* to_string(answer_match match) {
+    switch (match) {
+        case answer_match::awaited:
+            return "awaited";
+        case answer_match::repeated:
+            return "repeated";
+        case answer_match::unexpected:
+            return "unexpected";
+    }
+    return "?";
+}
+
+void delivered_proofs::add(const std::string& proof, const std::string& statement_id) {
+    const std::hash<std::string> hash;
+    const entry added{hash(proof), hash(statement_id)};
+    if (this->entries.size() < limit) {
+        this->entries.push_back(added);
+        return;
+    }
+    this->entries[this->oldest] = added;
+    this->oldest = (this->oldest + 1) % limit;
+}
+
+bool delivered_proofs::belongs_to_other(const std::string& proof, const std::string& statement_id) const {
+    const std::hash<std::string> hash;
+    const auto found = std::ranges::find(this->entries, hash(proof), &entry::proof);
+    return found != this->entries.end() && found->statement_id != hash(statement_id);
+}
+
+answer_match match_answer(const endpoint_reply& reply, awaited_answer awaited, const std::string& statement_id,
+                          bool in_transaction, const delivered_proofs& delivered) {
+    if (!reply.proof.empty()) {
+        if (delivered.belongs_to_other(reply.proof, statement_id)) {
+            return answer_match::repeated;
+        }
+        return awaited == awaited_answer::statement ? answer_match::awaited : answer_match::unexpected;
+    }
+    if (reply.code == result_code::none) {
+        return fits_without_proof(reply, awaited, in_transaction) ? answer_match::awaited : answer_match::repeated;
+    }
+    return awaited == awaited_answer::none ? answer_match::unexpected : answer_match::awaited;
+}
+
+bool is_ambiguous_when_repeated(const endpoint_reply& reply) {
+    return reply.code != result_code::none || reply.status.has_value();
+}
+
+}  // namespace camphorstack
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -281,6 +281,38 @@
     dispatch_runs(state, endpoint, now);
 }
 
+awaited_answer awaited_on(const executor_connection& connection) {
+    if (connection.setup_replies > 0) {
+        return awaited_answer::setup;
+    }
+    switch (connection.stage) {
+        case connection_stage::opening:
+        case connection_stage::idle:
+            return awaited_answer::none;
+        case connection_stage::beginning:
+            return awaited_answer::begin;
+        case connection_stage::rolling_back:
+            return awaited_answer::rollback;
+        case connection_stage::running:
+            return is_administrative(connection.run->request.kind) ? awaited_answer::status : awaited_answer::statement;
+    }
+    return awaited_answer::none;
+}
+
+/// Matches a reply with the answer that the connection waits for, and records a reply that is not that answer.
+answer_match match_reply(executor_state& state, executor_connection& connection, const endpoint_reply& reply) {
+    const auto awaited = awaited_on(connection);
+    const auto id = awaited == awaited_answer::statement ? connection.run->request.statement_id : std::string();
+    const bool in_transaction = connection.stage == connection_stage::running && connection.transaction;
+    const auto match = match_answer(reply, awaited, id, in_transaction, connection.delivered);
+    if (match != answer_match::awaited) {
+        state.stray_answers.push_back({connection.endpoint, connection.id, match, awaited, id, reply.code});
+    } else if (!reply.proof.empty()) {
+        connection.delivered.add(reply.proof, id);
+    }
+    return match;
+}
+
 }  // namespace
 
 void set_endpoints(executor_state& state, const std::map<endpoint_id, endpoint_share>& shares, instant now) {
@@ -437,6 +469,7 @@
     }
     auto& connection = found->second;
     auto& endpoint = state.endpoints.at(connection.endpoint);
+    match_reply(state, connection, event.reply);
     if (connection.setup_replies > 0) {
         --connection.setup_replies;
         connection.setup_failed = connection.setup_failed || event.reply.code != result_code::none;
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "camphorstack/catalog/endpoint_entry.hpp"
+#include "camphorstack/executors/answer_matching.hpp"
 #include "camphorstack/executors/endpoint_connection.hpp"
 #include "camphorstack/executors/run.hpp"
 
@@ -73,6 +74,7 @@
     std::size_t setup_replies = 0;    ///< Replies to setup statements that are expected before the reply to BEGIN or to the run.
     bool setup_failed = false;
     std::optional<submitted_run> run;  ///< The run in flight.
+    delivered_proofs delivered;
 };
 
 /// The right of this host to use an endpoint as its database's primary until a given time.
@@ -108,6 +110,18 @@
     friend bool operator==(const addressed_result&, const addressed_result&) = default;
 };
 
+/// A reply of an endpoint that is not the answer that its connection waited for. Recorded for the log and the metrics.
+struct stray_answer {
+    endpoint_id endpoint;
+    connection_id connection = 0;
+    answer_match match = answer_match::repeated;
+    awaited_answer awaited = awaited_answer::none;
+    std::string statement_id;  ///< Of the awaited statement; empty if that is not a caller's.
+    result_code code = result_code::none;
+
+    friend bool operator==(const stray_answer&, const stray_answer&) = default;
+};
+
 /// State of one host's executor, which runs statements at endpoints: queues, connections and open transactions.
 struct executor_state {
     executor_settings settings;
@@ -115,8 +129,9 @@
     std::map<connection_id, executor_connection> connections;
     std::map<transaction_key, connection_id> transactions;
     connection_id next_connection = 1;
-    std::vector<executor_action> actions;   ///< To be carried out; taken by the caller.
-    std::vector<addressed_result> results;  ///< To be delivered; taken by the caller.
+    std::vector<executor_action> actions;     ///< To be carried out; taken by the caller.
+    std::vector<addressed_result> results;    ///< To be delivered; taken by the caller.
+    std::vector<stray_answer> stray_answers;  ///< To be logged; taken by the caller.
 };
 
 /// An endpoint that this host may use, and its share of the endpoint's connections.
--- a/src/camphorstack/session_host/session_entry.cpp
+++ b/src/camphorstack/session_host/session_entry.cpp
@@ -54,6 +54,11 @@
 void begin_statement(session_host_state& state, caller_session& session, const statement& requested, instant now) {
     session.last_used = now;
     if (requested.kind == statement_kind::malformed) {
+        ++state.refused_messages[result_code::malformed];
+        log_decision(state, "statement_refused",
+                     "request=" + requested.id + " database=" + session.database +
+                         " code=malformed bytes=" + std::to_string(requested.text.size()),
+                     true);
         answer_error(state, session, result_code::malformed, "the statement is not understood");
         return;
     }
@@ -161,6 +166,14 @@
     }
 }
 
+void record_refused_message(session_host_state& state, const message_refused& event) {
+    ++state.refused_messages[event.code];
+    log_decision(state, "message_refused",
+                 "session=" + std::to_string(event.session) + " started=" + (event.started ? "yes" : "no") +
+                     " code=" + to_string(event.code) + " bytes=" + std::to_string(event.bytes),
+                 true);
+}
+
 void receive_session_ended(session_host_state& state, const session_ended& event, instant now) {
     const auto found = state.sessions.find(event.session);
     if (found == state.sessions.end()) {
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -78,8 +78,21 @@
     kept_links_tick(state, now);
 }
 
+/// Logs and counts replies of endpoints that were not the awaited answers.
+void record_stray_answers(session_host_state& state) {
+    for (const auto& stray : std::exchange(state.executor.stray_answers, {})) {
+        ++state.stray_answers[stray.match];
+        log_decision(state, "stray_answer",
+                     "endpoint=" + stray.endpoint + " connection=" + std::to_string(stray.connection) +
+                         " match=" + to_string(stray.match) + " awaited=" + to_string(stray.awaited) +
+                         " request=" + (stray.statement_id.empty() ? "-" : stray.statement_id) + " code=" + to_string(stray.code),
+                     true);
+    }
+}
+
 /// Delivers the executor's results, until there are none left, and its actions.
 void drain_executor(session_host_state& state, instant now) {
+    record_stray_answers(state);
     while (!state.executor.results.empty()) {
         for (auto& item : std::exchange(state.executor.results, {})) {
             if (item.origin != state.settings.self.id) {
@@ -216,6 +229,7 @@
     }
     void operator()(const session_requested& event) const { receive_session(this->state, event, this->now); }
     void operator()(const statement_received& event) const { receive_statement(this->state, event, this->now); }
+    void operator()(const message_refused& event) const { record_refused_message(this->state, event); }
     void operator()(const session_ended& event) const { receive_session_ended(this->state, event, this->now); }
     void operator()(const endpoint_connection_opened& event) const {
         on_connection_opened(this->state.executor, event, this->now);
@@ -342,6 +356,16 @@
     for (const auto& [code, count] : state.access_refusals) {
         out << "camphorstack_access_refusals_total{code=\"" << to_string(code) << "\"} " << count << '\n';
     }
+    out << "# HELP camphorstack_stray_answers_total Replies of endpoints that were not the awaited answers, by kind.\n"
+        << "# TYPE camphorstack_stray_answers_total counter\n";
+    for (const auto& [match, count] : state.stray_answers) {
+        out << "camphorstack_stray_answers_total{match=\"" << to_string(match) << "\"} " << count << '\n';
+    }
+    out << "# HELP camphorstack_refused_messages_total Messages of callers that were not understood, by code.\n"
+        << "# TYPE camphorstack_refused_messages_total counter\n";
+    for (const auto& [code, count] : state.refused_messages) {
+        out << "camphorstack_refused_messages_total{code=\"" << to_string(code) << "\"} " << count << '\n';
+    }
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
--- a/src/camphorstack/session_host/session_host_events.hpp
+++ b/src/camphorstack/session_host/session_host_events.hpp
@@ -25,10 +25,10 @@
 };
 
 /// Input of a session host.
-using session_host_event =
-    std::variant<tick, settings_changed, session_requested, statement_received, session_ended, endpoint_connection_opened,
-                 endpoint_connection_ended, endpoint_reply_received, catalog_answer_begun, catalog_answer, promotion_answer,
-                 peer_message, peer_connected, peer_disconnected, peer_not_sent, stop_requested>;
+using session_host_event = std::variant<tick, settings_changed, session_requested, statement_received, message_refused,
+                                        session_ended, endpoint_connection_opened, endpoint_connection_ended,
+                                        endpoint_reply_received, catalog_answer_begun, catalog_answer, promotion_answer,
+                                        peer_message, peer_connected, peer_disconnected, peer_not_sent, stop_requested>;
 
 /// Log entry for a decision about a request or a change of the host's view of the fleet.
 struct decision_line {
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -100,6 +100,8 @@
     std::map<result_code, std::uint64_t> access_refusals;  ///< Sessions and operations refused by the document, for the metrics.
     std::array<relayed_collection, collection_count> relayed;  ///< Copies from which other hosts' requests are answered.
     std::vector<kept_catalog_request> kept_requests;
+    std::map<answer_match, std::uint64_t> stray_answers;    ///< Replies of endpoints that were not awaited, for the metrics.
+    std::map<result_code, std::uint64_t> refused_messages;  ///< Callers' messages that were not understood, for the metrics.
     std::uint64_t relayed_answers = 0;  ///< Number of requests for changes that this host answered, for the metrics.
     std::map<std::string, std::string> logged_problems;  ///< Last logged problem of each object, by collection and name.
     bool serving = false;
--- a/src/camphorstack/sessions/session_events.hpp
+++ b/src/camphorstack/sessions/session_events.hpp
@@ -25,6 +25,16 @@
     friend bool operator==(const statement_received&, const statement_received&) = default;
 };
 
+/// A caller's connection is ended because a message on it is not understood.
+struct message_refused {
+    session_id session = 0;
+    result_code code = result_code::malformed;
+    std::size_t bytes = 0;  ///< Length of the message, without its end.
+    bool started = false;   ///< The session had started.
+
+    friend bool operator==(const message_refused&, const message_refused&) = default;
+};
+
 /// The caller ended the session or its connection broke.
 struct session_ended {
     session_id session = 0;
