End a message at CR LF only, and serve fields with any other bytes whole

Cause: line_socket ended a message at each LF, with or without a CR, while the protocol ends it at CR LF and allows an LF in a field. What followed the LF was read as a message of its own, so a field could also start one.

- line_socket ends a line at CR LF and nowhere else, also if the two bytes arrive apart.
The host's own names of prepared statements are one word (blanks are escaped).

--- a/src/camphorstack/executors/connection_setup.cpp
+++ b/src/camphorstack/executors/connection_setup.cpp
@@ -14,7 +14,18 @@
 }  // namespace
 
 std::string prepared_name(const prepared_shape& shape) {
-    return (shape.writes ? "w_" : "r_") + shape.shape;
+    std::string name = shape.writes ? "w_" : "r_";
+    for (const char byte : shape.shape) {
+        // A name is one word. The escape character is escaped too, so that names of different shapes differ.
+        if (byte == ' ') {
+            name += "%s";
+        } else if (byte == '%') {
+            name += "%%";
+        } else {
+            name += byte;
+        }
+    }
+    return name;
 }
 
 bool has_session_values(const executor_connection& connection, const std::vector<session_value>& values) {
--- a/src/camphorstack/executors/connection_setup.hpp
+++ b/src/camphorstack/executors/connection_setup.hpp
@@ -6,7 +6,8 @@
 
 namespace camphorstack {
 
-/// Returns the name under which the host prepares a statement. Callers' own names would collide on shared connections.
+/// Returns the name under which the host prepares a statement, without blanks. Callers' own names would collide on shared
+/// connections.
 [[nodiscard]] std::string prepared_name(const prepared_shape& shape);
 
 /// Returns true if the connection's session values are already those that the run needs.
--- a/src/camphorstack/links/line_socket.cpp
+++ b/src/camphorstack/links/line_socket.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr std::string_view line_end = "\r\n";
 constexpr std::size_t read_chunk_bytes = 16384;
 /// Limit of chunks read from one socket before other sockets are served.
 constexpr int chunks_per_turn = 4;
@@ -186,15 +187,12 @@
 void line_socket::deliver_lines() {
     std::size_t consumed = 0;
     while (this->current == phase::open) {
-        const auto end = this->input.find('\n', std::max(consumed, this->scanned));
+        const auto end = this->input.find(line_end, std::max(consumed, this->scanned));
         if (end == std::string::npos) {
             break;
         }
-        auto line = std::string_view(this->input).substr(consumed, end - consumed);
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        consumed = end + 1;
+        const auto line = std::string_view(this->input).substr(consumed, end - consumed);
+        consumed = end + line_end.size();
         this->scanned = consumed;
         if (line.size() > this->bounds.max_line_bytes) {
             this->fail(line_socket_close_reason::oversized);
@@ -203,8 +201,10 @@
         this->notify.line(line);
     }
     this->input.erase(0, consumed);
-    this->scanned = this->input.size();
-    if (this->current == phase::open && this->input.size() > this->bounds.max_line_bytes) {
+    // The CR of a line end may arrive before its LF.
+    const bool ends_with_cr = this->input.ends_with(line_end.front());
+    this->scanned = this->input.size() - (ends_with_cr ? 1 : 0);
+    if (this->current == phase::open && this->scanned > this->bounds.max_line_bytes) {
         this->fail(line_socket_close_reason::oversized);
     }
 }
--- a/src/camphorstack/links/line_socket.hpp
+++ b/src/camphorstack/links/line_socket.hpp
@@ -20,7 +20,7 @@
     oversized,  ///< A line or the output buffer exceeds its limit. The owner must close the socket, which is still open.
 };
 
-/// Lines of text, each ended by CR LF or LF, over one TCP connection. Never blocks.
+/// Lines, each ended by CR LF, over one TCP connection. A line may hold any other bytes, also a CR or an LF alone. Never blocks.
 class line_socket {
 public:
     struct callbacks {
