Match endpoints' answers by what only the awaited statement's answer can hold

Cause: an answer on the wire does not name its statement. endpoints_link and the executor matched by order alone, so a repeated answer was taken for the next statement's and each later one on the connection was one behind; a READY without an outcome, such as a second greeting, counted as a success. Class: an answer matched with a request by order alone.

- The answer to a caller's statement must have a proof that the connection has not delivered for another statement.
A confirmation without a proof answers only the host's own statements, and only if it leads to the state that the awaited one leads to.
Other replies that repeat are passed over; what neither was awaited nor repeats ends the connection.
- Errors and statuses hold nothing of their own, so their repetition could pass for a refusal of a write that ran, or for a newer log position.
The connection is given up after one.
Inside a transaction that rolls it back, so the session's state is then failed.
- The adapter only parses: it keeps no queue of awaited replies, reports a greeting as such, and reads a status from any row of a reply without a proof.

The tests of the executor give statements' answers a proof, which they lacked; the test of the reader also checks greetings, half replies and rows that are no status.

--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -92,7 +92,6 @@
     }
     const auto& request = run.request;
     connection.since = now;
-    connection.setup_failed = false;
     if (request.start == transaction_start::none) {
         connection.run = std::move(run);
         send_run(state, connection, now);
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -169,10 +169,6 @@
         update_mean_service(state, endpoint, now - connection.since);
     }
     auto result = result_of(endpoint, request, reply);
-    if (reply.code == result_code::no_statement) {
-        // The endpoint no longer has the prepared statements.
-        connection.prepared.clear();
-    }
     if (is_too_late(state, endpoint, request, now) && result.outcome == run_outcome::done) {
         result = run_result{};
         result.outcome = run_outcome::lost;
@@ -183,7 +179,13 @@
     const bool to_roll_back = reply.state == session_state::failed || (connection.rollback_requested && !ended) ||
                               (request.transaction == 0 && reply.state != session_state::idle);
     set_idle(connection, now);
-    if (to_roll_back) {
+    if (is_ambiguous_when_repeated(reply)) {
+        if (request.transaction != 0 && !ended) {
+            // The endpoint rolls the transaction back when its connection ends.
+            result.state = session_state::failed;
+        }
+        drop_connection(state, connection.id);
+    } else if (to_roll_back) {
         roll_back(state, connection, now);
     } else if (ended || request.transaction == 0) {
         release_transaction(state, connection);
@@ -204,11 +206,10 @@
     result.code = reply.code == result_code::none ? result_code::busy : reply.code;
     result.text = reply.code == result_code::none ? "the transaction's right has ended" : reply.text;
     result.position = reply.position;
-    if (reply.state == session_state::idle) {
-        set_idle(connection, now);
-        release_transaction(state, connection);
-    } else {
+    if (reply.code == result_code::none) {
         roll_back(state, connection, now);
+    } else {
+        drop_connection(state, connection.id);
     }
     finish_run(state, endpoint, run, std::move(result));
 }
@@ -313,6 +314,36 @@
     return match;
 }
 
+/// Handles the answer that the connection waits for.
+void take_answer(executor_state& state, endpoint_executor& endpoint, executor_connection& connection, const endpoint_reply& reply,
+                 instant now) {
+    if (connection.setup_replies > 0) {
+        --connection.setup_replies;
+        if (reply.code != result_code::none) {
+            fail_setup(state, connection);
+        }
+        return;
+    }
+    switch (connection.stage) {
+        case connection_stage::beginning:
+            finish_beginning(state, endpoint, connection, reply, now);
+            break;
+        case connection_stage::running:
+            finish_statement(state, endpoint, connection, reply, now);
+            break;
+        case connection_stage::rolling_back:
+            if (is_ambiguous_when_repeated(reply)) {
+                drop_connection(state, connection.id);
+            } else {
+                set_idle(connection, now);
+            }
+            break;
+        case connection_stage::opening:
+        case connection_stage::idle:
+            break;
+    }
+}
+
 }  // namespace
 
 void set_endpoints(executor_state& state, const std::map<endpoint_id, endpoint_share>& shares, instant now) {
@@ -428,8 +459,14 @@
     if (found == state.connections.end()) {
         return;
     }
-    set_idle(found->second, now);
-    auto& endpoint = state.endpoints.at(found->second.endpoint);
+    auto& connection = found->second;
+    if (connection.stage != connection_stage::opening) {
+        state.stray_answers.push_back(
+            {connection.endpoint, connection.id, answer_match::repeated, awaited_on(connection), "", result_code::none});
+        return;
+    }
+    set_idle(connection, now);
+    auto& endpoint = state.endpoints.at(connection.endpoint);
     record_answer(state, endpoint, now);
     dispatch_runs(state, endpoint, now);
 }
@@ -469,21 +506,15 @@
     }
     auto& connection = found->second;
     auto& endpoint = state.endpoints.at(connection.endpoint);
-    match_reply(state, connection, event.reply);
-    if (connection.setup_replies > 0) {
-        --connection.setup_replies;
-        connection.setup_failed = connection.setup_failed || event.reply.code != result_code::none;
-        record_answer(state, endpoint, now);
-        return;
-    }
-    if (connection.setup_failed) {
-        fail_setup(state, connection);
-    } else if (connection.stage == connection_stage::beginning) {
-        finish_beginning(state, endpoint, connection, event.reply, now);
-    } else if (connection.stage == connection_stage::running) {
-        finish_statement(state, endpoint, connection, event.reply, now);
-    } else {
-        set_idle(connection, now);
+    switch (match_reply(state, connection, event.reply)) {
+        case answer_match::repeated:
+            return;
+        case answer_match::unexpected:
+            end_connection(state, connection.id, result_code::failed, "the endpoint sent an answer that no statement awaits");
+            break;
+        case answer_match::awaited:
+            take_answer(state, endpoint, connection, event.reply, now);
+            break;
     }
     record_answer(state, endpoint, now);
     dispatch_runs(state, endpoint, now);
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -69,10 +69,9 @@
     std::map<std::string, std::string> values;  ///< Session values set on the connection, by name.
     std::set<std::string> prepared;             ///< Names of the statements prepared on the connection.
     std::optional<transaction_key> transaction;
-    leader_round round = 0;           ///< Round of the open transaction; 0 if it does not need the leader.
-    bool rollback_requested = false;  ///< The transaction is rolled back once the statement in flight is answered.
-    std::size_t setup_replies = 0;    ///< Replies to setup statements that are expected before the reply to BEGIN or to the run.
-    bool setup_failed = false;
+    leader_round round = 0;            ///< Round of the open transaction; 0 if it does not need the leader.
+    bool rollback_requested = false;   ///< The transaction is rolled back once the statement in flight is answered.
+    std::size_t setup_replies = 0;     ///< Replies to setup statements that are expected before the reply to BEGIN or to the run.
     std::optional<submitted_run> run;  ///< The run in flight.
     delivered_proofs delivered;
 };
--- a/tests/executors/executor.tests.cpp
+++ b/tests/executors/executor.tests.cpp
@@ -54,6 +54,12 @@
         answer.code = code;
         answer.state = after;
         answer.position = log_position{1, 5};
+        const auto& run = this->state.connections.at(connection).run;
+        const bool is_setup = this->state.connections.at(connection).setup_replies > 0;
+        const bool runs_statement = this->state.connections.at(connection).stage == connection_stage::running && !is_setup;
+        if (code == result_code::none && runs_statement) {
+            answer.proof = "proof-" + run->request.statement_id;
+        }
         on_endpoint_reply(this->state, {connection, answer}, this->now);
     }
 
@@ -283,3 +289,80 @@
         CHECK_FALSE(suspected());
     }
 }
+
+TEST_CASE("a refusal that is sent twice is not taken for the next statement's", "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    fixture.grant_lease(1, millis{5000});
+    const auto code = GENERATE(result_code::busy, result_code::read_only, result_code::lagging, result_code::failed);
+    auto first = fixture.request(run_kind::write);
+    first.round = 1;
+    submit_run(fixture.state, "host", first, fixture.now);
+    REQUIRE(fixture.open_connections().size() == 1);
+    fixture.reply(1, code);
+    CHECK(fixture.result().code == code);
+    auto second = fixture.request(run_kind::write);
+    second.round = 1;
+    submit_run(fixture.state, "host", second, fixture.now);
+    const auto sent = fixture.open_connections();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent.front().connection != 1);
+    on_endpoint_reply(fixture.state, {1, endpoint_reply{code, "", "", {}, session_state::idle, std::nullopt, std::nullopt}},
+                      fixture.now);
+    CHECK(fixture.state.results.empty());
+    fixture.reply(sent.front().connection);
+    CHECK(fixture.result().outcome == run_outcome::done);
+}
+
+TEST_CASE("a refusal inside a transaction ends the transaction at the endpoint", "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    fixture.grant_lease(1, millis{5000});
+    auto first = fixture.request(run_kind::write);
+    first.round = 1;
+    first.transaction = 4;
+    first.start = transaction_start::plain;
+    submit_run(fixture.state, "host", first, fixture.now);
+    fixture.open_connections();
+    fixture.reply(1, result_code::none, session_state::in_transaction);
+    fixture.open_connections();
+    fixture.reply(1, result_code::busy, session_state::in_transaction);
+    const auto result = fixture.result();
+    CHECK(result.code == result_code::busy);
+    CHECK(result.state == session_state::failed);
+    CHECK_FALSE(result.transaction_open);
+    CHECK(fixture.state.transactions.empty());
+    CHECK(std::ranges::count(fixture.state.actions, executor_action(close_endpoint_connection{1})) == 1);
+}
+
+TEST_CASE("a status that is sent twice is not taken for a later status", "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    endpoint_reply status;
+    status.status = endpoint_self_report{true, 3, {3, 10}, millis{0}};
+    submit_run(fixture.state, "host", fixture.request(run_kind::status), fixture.now);
+    const auto sent = fixture.open_connections();
+    REQUIRE(sent.size() == 1);
+    on_endpoint_reply(fixture.state, {1, status}, fixture.now);
+    CHECK(fixture.result().status == status.status);
+    submit_run(fixture.state, "host", fixture.request(run_kind::status), fixture.now);
+    CHECK(fixture.open_connections().front().connection != 1);
+    on_endpoint_reply(fixture.state, {1, status}, fixture.now);
+    CHECK(fixture.state.results.empty());
+}
+
+TEST_CASE("an answer that no statement awaits ends its connection and is logged", "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
+    fixture.open_connections();
+    fixture.reply(1);
+    CHECK(fixture.result().outcome == run_outcome::done);
+    endpoint_reply other;
+    SECTION("a proof that was not delivered") {
+        other.proof = "another";
+    }
+    SECTION("an error") {
+        other.code = result_code::busy;
+    }
+    on_endpoint_reply(fixture.state, {1, other}, fixture.now);
+    CHECK(fixture.state.connections.empty());
+    REQUIRE(fixture.state.stray_answers.size() == 1);
+    CHECK(fixture.state.stray_answers.front().match == answer_match::unexpected);
+}
--- a/tests/platform/wire.tests.cpp
+++ b/tests/platform/wire.tests.cpp
@@ -153,28 +153,43 @@
 
 TEST_CASE("an endpoint's lines are assembled into replies", "[platform][endpoint-wire]") {
     endpoint_reply_reader reader;
-    CHECK_FALSE(reader.take("ROW qhzkwmtrbelo", false));
-    CHECK_FALSE(reader.take("DONE 7.1f3", false));
-    const auto reply = reader.take("READY I 3.1209", false);
-    REQUIRE(reply);
-    CHECK(reply->rows == std::vector<std::string>{"qhzkwmtrbelo"});
-    CHECK(reply->proof == "7.1f3");
-    CHECK(reply->position == log_position{3, 1209});
-    CHECK_FALSE(reader.take("ERROR READONLY i-7f3a91c2", false));
+    const auto is_incomplete = [](const endpoint_message& message) { return std::holds_alternative<std::monostate>(message); };
+    CHECK(reader.take("READY I 3.1207") == endpoint_message(endpoint_greeting{log_position{3, 1207}}));
+    CHECK(is_incomplete(reader.take("ROW qhzkwmtrbelo")));
+    CHECK(is_incomplete(reader.take("DONE 7.1f3")));
+    const auto reply = std::get<endpoint_reply>(reader.take("READY I 3.1209"));
+    CHECK(reply.rows == std::vector<std::string>{"qhzkwmtrbelo"});
+    CHECK(reply.proof == "7.1f3");
+    CHECK(reply.position == log_position{3, 1209});
+    CHECK(is_incomplete(reader.take("ERROR READONLY i-7f3a91c2")));
     CHECK(reader.pending_error() == result_code::read_only);
-    const auto failed = reader.take("READY E 3.1209", false);
-    REQUIRE(failed);
-    CHECK(failed->code == result_code::read_only);
-    CHECK(failed->state == session_state::failed);
-    CHECK_FALSE(reader.take("ROW primary 3 3.1209 0 12 2 17", true));
-    CHECK_FALSE(reader.take("DONE -", true));
-    const auto status = reader.take("READY I 3.1204", true);
-    REQUIRE(status->status);
-    CHECK((status->status->is_primary && status->status->term == 3 && status->status->received == log_position{3, 1209}));
-    CHECK(status->status->lag == millis{12});
+    const auto failed = std::get<endpoint_reply>(reader.take("READY E 3.1209"));
+    CHECK(failed.code == result_code::read_only);
+    CHECK(failed.state == session_state::failed);
+    CHECK(is_incomplete(reader.take("ROW primary 3 3.1209 0 12 2 17")));
+    CHECK(is_incomplete(reader.take("DONE -")));
+    const auto status = std::get<endpoint_reply>(reader.take("READY I 3.1204"));
+    REQUIRE(status.status);
+    CHECK((status.status->is_primary && status.status->term == 3 && status.status->received == log_position{3, 1209}));
+    CHECK(status.status->lag == millis{12});
+    // A READY line without an outcome is no success.
+    CHECK(std::holds_alternative<endpoint_greeting>(reader.take("READY I 3.1204")));
+    CHECK(is_incomplete(reader.take("ROW half")));
+    CHECK_THROWS_AS(reader.take("READY I 3.1204"), format_error);
     // A truncated reply must not be completed by the lines of the next reply.
-    CHECK_FALSE(reader.take("DONE 1", false));
-    CHECK_THROWS_AS(reader.take("ROW late", false), format_error);
+    endpoint_reply_reader truncated;
+    CHECK(is_incomplete(truncated.take("DONE 1")));
+    CHECK_THROWS_AS(truncated.take("ROW late"), format_error);
+}
+
+TEST_CASE("a row that is no status is not read as one", "[platform][endpoint-wire]") {
+    const auto row = GENERATE(as<std::string>(), "leader 3 3.1 0 0 0 0", "primary x 3.1 0 0 0 0", "primary 3 - 0 0 0 0",
+                              "primary 3 3.1 0 -1 0 0", "primary 3 3.1 0 9223372036854775808 0 0", "primary", "");
+    CAPTURE(row);
+    endpoint_reply_reader reader;
+    reader.take("ROW " + row);
+    reader.take("DONE -");
+    CHECK_FALSE(std::get<endpoint_reply>(reader.take("READY I -")).status);
 }
 
 TEST_CASE("randomly mutated lines are parsed or rejected", "[platform][fuzz]") {
@@ -194,7 +209,7 @@
         }
         endpoint_reply_reader reader;
         try {
-            reader.take(mutate(endpoint_lines[random() % endpoint_lines.size()], alphabet, random), random() % 2 == 0);
+            reader.take(mutate(endpoint_lines[random() % endpoint_lines.size()], alphabet, random));
         } catch (const format_error&) {
             continue;
         }
--- a/tests/session_fleet/session_fleet.cpp
+++ b/tests/session_fleet/session_fleet.cpp
@@ -80,7 +80,8 @@
     return "route-" + std::to_string(database) + suffix;
 }
 
-session_fleet::session_fleet(fleet_options requested) : options(std::move(requested)), current(make_document(options)) {
+session_fleet::session_fleet(fleet_options requested)
+    : options(std::move(requested)), misbehaviour(options.seed), current(make_document(options)) {
     for (std::size_t i = 0; i < this->options.databases; ++i) {
         this->databases.push_back(std::make_unique<database_model>("db" + std::to_string(i),
                                                                    std::vector<data_centre_id>{"amman-a", "irbid-a", "aqaba-a"}));
@@ -399,6 +400,26 @@
     this->connections.erase(found);
 }
 
+endpoint_reply session_fleet::reply_of(database_model& owner, instance_model& instance, connection_id number,
+                                       const endpoint_statement& requested) {
+    const bool may_refuse = !requested.id.empty() && !instance.connections.at(number).transaction;
+    if (may_refuse && static_cast<int>(this->misbehaviour() % 100) < this->refused_statements_percent) {
+        endpoint_reply refused;
+        refused.code = result_code::busy;
+        return refused;
+    }
+    return owner.run(instance, number, requested, this->time);
+}
+
+void session_fleet::deliver_reply(const std::pair<host_id, connection_id>& key, std::uint64_t process,
+                                  const endpoint_reply& reply, const endpoint_id& endpoint, millis delay) {
+    this->after(delay, [this, key, process, reply, endpoint] {
+        if (this->connections.contains(key) && !this->is_cut(key.first, endpoint)) {
+            this->deliver(key.first, process, endpoint_reply_received{key.second, reply});
+        }
+    });
+}
+
 void session_fleet::carry_out(const host_id& host, const send_endpoint_statements& action) {
     const std::pair key(host, action.connection);
     const auto found = this->connections.find(key);
@@ -420,12 +441,13 @@
                 this->deliver_after(this->cuts_reset ? delay : broken_connection_timeout, host,
                                     endpoint_connection_ended{key.second, result_code::none, false});
             } else if (instance->alive && open != instance->connections.end() && this->connections.contains(key)) {
-                const auto reply = owner->run(*instance, number_at_instance(host, key.second), requested, this->time);
-                this->after(delay, [this, host, process, key, reply, endpoint] {
-                    if (this->connections.contains(key) && !this->is_cut(host, endpoint)) {
-                        this->deliver(host, process, endpoint_reply_received{key.second, reply});
-                    }
-                });
+                const auto reply = this->reply_of(*owner, *instance, number_at_instance(host, key.second), requested);
+                this->deliver_reply(key, process, reply, endpoint, delay);
+                if (static_cast<int>(this->misbehaviour() % 100) < this->repeated_answers_percent) {
+                    const auto span = static_cast<std::uint64_t>(this->longest_repetition.count) + 1;
+                    const millis later{static_cast<std::int64_t>(this->misbehaviour() % span)};
+                    this->deliver_reply(key, process, reply, endpoint, delay + later);
+                }
             }
         });
     }
--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -105,6 +105,10 @@
     std::set<endpoint_id> lagging;  ///< Instances that do not replicate.
     std::vector<std::string> log;   ///< Decision log: "TIME HOST KIND TEXT" for each entry.
     bool store_is_down = false;
+    /// Instances send this share of their answers once more, up to `longest_repetition` later.
+    int repeated_answers_percent = 0;
+    millis longest_repetition{300};
+    int refused_statements_percent = 0;  ///< Share of statements outside of transactions that instances refuse as busy.
     bool cuts_reset = false;  ///< Endpoints behind a cut reset and refuse connections at once, instead of not answering.
 
 private:
@@ -148,7 +152,13 @@
     void carry_out(const host_id& host, const promotion_call& action);
     void carry_out(const host_id& host, const send_to_peer& action);
 
+    endpoint_reply reply_of(database_model& owner, instance_model& instance, connection_id number,
+                            const endpoint_statement& requested);
+    void deliver_reply(const std::pair<host_id, connection_id>& key, std::uint64_t process, const endpoint_reply& reply,
+                       const endpoint_id& endpoint, millis delay);
+
     fleet_options options;
+    random_source misbehaviour;  ///< Chooses the answers that are repeated and the statements that are refused.
     instant time{1000000};
     std::uint64_t next_order = 0;
     std::priority_queue<scheduled, std::vector<scheduled>, is_later> queue;
