Keep connections after a position request, and take statuses for changes of leader from fresh ones

A repeated status matters in two ways. A change of leader compares what endpoints have received: its statuses come from connections that have delivered none, and end them, which is rare. A position request needs a position that lacks no acknowledged write: the executor knows the highest position that the endpoint has answered with on any connection, so a status that reaches it is as good as a new one, and one that does not ends the connection and counts as no answer. The highest position is then forgotten, as an endpoint that lost a part of its log would never reach it again.

Tests: a leader's position that is sent twice after a write is refused and the next request is served; an unchanged one is taken on the same connection. [executor], [answer-matching], [repeated-answers] and [session-fleet] pass.

--- a/src/camphorstack/executors/answer_matching.cpp
+++ b/src/camphorstack/executors/answer_matching.cpp
@@ -92,8 +92,9 @@
     return awaited == awaited_answer::none ? answer_match::unexpected : answer_match::awaited;
 }
 
-bool is_ambiguous_when_repeated(const endpoint_reply& reply) {
-    return reply.code != result_code::none || reply.status.has_value();
+bool may_be_outdated(const endpoint_reply& status, bool has_delivered_status, const std::optional<log_position>& newest) {
+    const bool lacks_nothing = status.position && newest && *status.position >= *newest;
+    return has_delivered_status && !lacks_nothing;
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/executors/answer_matching.hpp
+++ b/src/camphorstack/executors/answer_matching.hpp
@@ -57,8 +57,9 @@
 [[nodiscard]] answer_match match_answer(const endpoint_reply& reply, awaited_answer awaited, const std::string& statement_id,
                                         bool in_transaction, const delivered_proofs& delivered);
 
-/// Returns true if a repetition of this reply could pass for the answer to another statement: errors and statuses carry nothing
-/// that belongs to their statement alone.
-[[nodiscard]] bool is_ambiguous_when_repeated(const endpoint_reply& reply);
+/// Returns true if a status may be a repetition of one that its connection has delivered before. `newest` is the highest position
+/// that the endpoint has answered with on any connection: a status that lacks none of it is as good as a new one.
+[[nodiscard]] bool may_be_outdated(const endpoint_reply& status, bool has_delivered_status,
+                                   const std::optional<log_position>& newest);
 
 }  // namespace camphorstack
--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -20,7 +20,23 @@
     }));
 }
 
-/// Returns the idle connection that needs the fewest setup statements for the run; null if none is idle.
+/// Returns how well an idle connection suits a run; nothing if the run cannot use it.
+std::optional<int> suitability(const executor_connection& connection, const run_request& request) {
+    if (is_for_leader_change(request)) {
+        return connection.has_delivered_status ? std::nullopt : std::optional(0);
+    }
+    if (is_administrative(request.kind)) {
+        return connection.has_delivered_status ? 1 : 0;
+    }
+    if (connection.workspace != request.workspace) {
+        return std::nullopt;
+    }
+    const bool prepared = !request.prepared || connection.prepared.contains(prepared_name(*request.prepared));
+    return (has_session_values(connection, request.values) ? 2 : 0) + (prepared ? 1 : 0);
+}
+
+/// Returns the idle connection that suits the run best: of a caller's statement the one that needs the fewest setup statements.
+/// Null if none is idle.
 executor_connection* find_idle(executor_state& state, const endpoint_executor& endpoint, const run_request& request) {
     executor_connection* best = nullptr;
     int best_score = -1;
@@ -29,42 +45,37 @@
         if (connection.stage != connection_stage::idle || connection.transaction) {
             continue;
         }
-        if (is_administrative(request.kind)) {
-            return &connection;
-        }
-        if (connection.workspace != request.workspace) {
-            continue;
-        }
-        const bool prepared = !request.prepared || connection.prepared.contains(prepared_name(*request.prepared));
-        const int score = (has_session_values(connection, request.values) ? 2 : 0) + (prepared ? 1 : 0);
-        if (score > best_score) {
+        if (const auto score = suitability(connection, request); score && *score > best_score) {
             best = &connection;
-            best_score = score;
+            best_score = *score;
         }
     }
     return best;
 }
 
-/// Returns the connection of another workspace that has been idle longest.
+/// Returns the connection that has been idle longest of those that another workspace uses or, if the run cannot use it, that has
+/// delivered a status.
 std::optional<connection_id> find_replaceable(const executor_state& state, const endpoint_executor& endpoint,
-                                              const workspace_id& workspace) {
+                                              const run_request& waiting) {
     std::optional<connection_id> found;
     for (const auto id : endpoint.connections) {
         const auto& connection = state.connections.at(id);
         const bool idle = connection.stage == connection_stage::idle && !connection.transaction;
-        if (idle && connection.workspace != workspace && (!found || connection.since < state.connections.at(*found).since)) {
+        const bool unsuitable =
+            connection.workspace != waiting.workspace || (is_for_leader_change(waiting) && connection.has_delivered_status);
+        if (idle && unsuitable && (!found || connection.since < state.connections.at(*found).since)) {
             found = id;
         }
     }
     return found;
 }
 
-void open_connection_for(executor_state& state, endpoint_executor& endpoint, const workspace_id& workspace, instant now) {
+void open_connection_for(executor_state& state, endpoint_executor& endpoint, const run_request& waiting, instant now) {
     if (now < endpoint.not_before) {
         return;
     }
     if (endpoint.connections.size() >= endpoint.connection_limit) {
-        const auto replaced = find_replaceable(state, endpoint, workspace);
+        const auto replaced = find_replaceable(state, endpoint, waiting);
         if (!replaced) {
             return;
         }
@@ -74,7 +85,7 @@
     executor_connection connection;
     connection.id = id;
     connection.endpoint = endpoint.entry.id;
-    connection.workspace = workspace;
+    connection.workspace = waiting.workspace;
     connection.since = now;
     state.connections.emplace(id, std::move(connection));
     endpoint.connections.insert(id);
@@ -82,7 +93,7 @@
         endpoint.unanswered_since = now;
     }
     state.actions.emplace_back(
-        open_endpoint_connection{id, endpoint.entry.id, endpoint.entry.database, endpoint.entry.address, workspace});
+        open_endpoint_connection{id, endpoint.entry.id, endpoint.entry.database, endpoint.entry.address, waiting.workspace});
 }
 
 void start_run_on(executor_state& state, endpoint_executor& endpoint, executor_connection& connection, submitted_run run,
@@ -152,7 +163,7 @@
         if (expected >= in_flight_limit(state, endpoint)) {
             return;
         }
-        open_connection_for(state, endpoint, run.request.workspace, now);
+        open_connection_for(state, endpoint, run.request, now);
         ++expected;
     }
 }
@@ -164,6 +175,10 @@
         std::ranges::count_if(endpoint.connections, [&](connection_id id) { return state.connections.at(id).run.has_value(); }));
 }
 
+bool is_for_leader_change(const run_request& request) {
+    return is_administrative(request.kind) && request.round == 0;
+}
+
 bool is_run_allowed(const endpoint_executor& endpoint, const run_request& request, instant now) {
     if (request.round == 0) {
         return true;
--- a/src/camphorstack/executors/dispatch_runs.hpp
+++ b/src/camphorstack/executors/dispatch_runs.hpp
@@ -14,6 +14,9 @@
 /// Sends the statement of the connection's run. The run's transaction must already be open.
 void send_run(executor_state& state, executor_connection& connection, instant now);
 
+/// Returns true for a status or a demotion that a change of leader needs. Other statuses only ask for the leader's position.
+[[nodiscard]] bool is_for_leader_change(const run_request& request);
+
 /// Returns true if the run needs no leader, or if this host holds a lease of the run's round that admits the run.
 [[nodiscard]] bool is_run_allowed(const endpoint_executor& endpoint, const run_request& request, instant now);
 
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -161,6 +161,13 @@
     return result;
 }
 
+/// Returns true if a repetition of the reply could pass for the answer to a later statement on the connection: errors hold
+/// nothing of their statement. A change of leader relies on statuses, and so takes them from connections that have delivered
+/// none.
+bool must_give_up_after(const endpoint_reply& reply, const run_request& request) {
+    return reply.code != result_code::none || is_for_leader_change(request);
+}
+
 void finish_statement(executor_state& state, endpoint_executor& endpoint, executor_connection& connection,
                       const endpoint_reply& reply, instant now) {
     const auto run = std::move(*std::exchange(connection.run, std::nullopt));
@@ -179,7 +186,7 @@
     const bool to_roll_back = reply.state == session_state::failed || (connection.rollback_requested && !ended) ||
                               (request.transaction == 0 && reply.state != session_state::idle);
     set_idle(connection, now);
-    if (is_ambiguous_when_repeated(reply)) {
+    if (must_give_up_after(reply, request)) {
         if (request.transaction != 0 && !ended) {
             // The endpoint rolls the transaction back when its connection ends.
             result.state = session_state::failed;
@@ -305,12 +312,26 @@
     const auto awaited = awaited_on(connection);
     const auto id = awaited == awaited_answer::statement ? connection.run->request.statement_id : std::string();
     const bool in_transaction = connection.stage == connection_stage::running && connection.transaction;
-    const auto match = match_answer(reply, awaited, id, in_transaction, connection.delivered);
+    auto match = match_answer(reply, awaited, id, in_transaction, connection.delivered);
+    auto& newest = state.endpoints.at(connection.endpoint).newest_position;
+    if (match == answer_match::awaited && awaited == awaited_answer::status && reply.status) {
+        if (may_be_outdated(reply, connection.has_delivered_status, newest)) {
+            match = answer_match::unexpected;
+            // An endpoint that has lost a part of its log does not reach the position again.
+            newest.reset();
+        }
+        connection.has_delivered_status = true;
+    }
     if (match != answer_match::awaited) {
         state.stray_answers.push_back({connection.endpoint, connection.id, match, awaited, id, reply.code});
-    } else if (!reply.proof.empty()) {
+        return match;
+    }
+    if (!reply.proof.empty()) {
         connection.delivered.add(reply.proof, id);
     }
+    if (reply.state == session_state::idle && reply.position && (!newest || *newest < *reply.position)) {
+        newest = reply.position;
+    }
     return match;
 }
 
@@ -332,7 +353,7 @@
             finish_statement(state, endpoint, connection, reply, now);
             break;
         case connection_stage::rolling_back:
-            if (is_ambiguous_when_repeated(reply)) {
+            if (reply.code != result_code::none) {
                 drop_connection(state, connection.id);
             } else {
                 set_idle(connection, now);
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -74,6 +74,7 @@
     std::size_t setup_replies = 0;     ///< Replies to setup statements that are expected before the reply to BEGIN or to the run.
     std::optional<submitted_run> run;  ///< The run in flight.
     delivered_proofs delivered;
+    bool has_delivered_status = false;  ///< A further status on this connection may be a repetition.
 };
 
 /// The right of this host to use an endpoint as its database's primary until a given time.
@@ -98,7 +99,8 @@
     std::optional<instant> last_timeout;      ///< When a connection was last given up during such a silence.
     int refusals = 0;                         ///< Refused connections in a row.
     instant last_refusal;
-    instant not_before;  ///< No connection is opened earlier.
+    instant not_before;                           ///< No connection is opened earlier.
+    std::optional<log_position> newest_position;  ///< Highest position in the answers outside of transactions.
 };
 
 /// A result and the host that it goes to.
--- a/tests/executors/answer_matching.tests.cpp
+++ b/tests/executors/answer_matching.tests.cpp
@@ -75,13 +75,18 @@
     }
 }
 
-TEST_CASE("errors and statuses are ambiguous when they are repeated", "[answer-matching]") {
-    endpoint_reply refused;
-    refused.code = result_code::busy;
+TEST_CASE("a status counts as outdated if its connection has delivered one and it lacks a position of the endpoint",
+          "[answer-matching]") {
     endpoint_reply status;
     status.status = endpoint_self_report{};
-    CHECK(is_ambiguous_when_repeated(refused));
-    CHECK(is_ambiguous_when_repeated(status));
-    CHECK_FALSE(is_ambiguous_when_repeated(proven("p")));
-    CHECK_FALSE(is_ambiguous_when_repeated(confirmation(session_state::idle)));
+    status.position = log_position{3, 10};
+    CHECK_FALSE(may_be_outdated(status, false, std::nullopt));
+    CHECK_FALSE(may_be_outdated(status, false, log_position{3, 11}));
+    CHECK_FALSE(may_be_outdated(status, true, log_position{3, 10}));
+    CHECK_FALSE(may_be_outdated(status, true, log_position{2, 99}));
+    CHECK(may_be_outdated(status, true, log_position{3, 11}));
+    CHECK(may_be_outdated(status, true, log_position{4, 1}));
+    CHECK(may_be_outdated(status, true, std::nullopt));
+    status.position.reset();
+    CHECK(may_be_outdated(status, true, log_position{3, 10}));
 }
--- a/tests/executors/executor.tests.cpp
+++ b/tests/executors/executor.tests.cpp
@@ -333,7 +333,7 @@
     CHECK(std::ranges::count(fixture.state.actions, executor_action(close_endpoint_connection{1})) == 1);
 }
 
-TEST_CASE("a status that is sent twice is not taken for a later status", "[executor][repeated-answers]") {
+TEST_CASE("a status that is sent twice is not taken for a later status of a change of leader", "[executor][repeated-answers]") {
     executor_fixture fixture;
     endpoint_reply status;
     status.status = endpoint_self_report{true, 3, {3, 10}, millis{0}};
@@ -348,6 +348,50 @@
     CHECK(fixture.state.results.empty());
 }
 
+TEST_CASE("a leader's position that is sent twice is not taken for a later one", "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    fixture.grant_lease(1, millis{5000});
+    const auto ask_position = [&] {
+        auto position = fixture.request(run_kind::status);
+        position.round = 1;
+        submit_run(fixture.state, "host", position, fixture.now);
+        const auto sent = fixture.open_connections();
+        REQUIRE(sent.size() == 1);
+        return sent.front().connection;
+    };
+    endpoint_reply status;
+    status.status = endpoint_self_report{true, 1, {1, 10}, millis{0}};
+    status.position = log_position{1, 10};
+    const auto connection = ask_position();
+    on_endpoint_reply(fixture.state, {connection, status}, fixture.now);
+    CHECK(fixture.result().position == log_position{1, 10});
+    SECTION("the position has not changed") {
+        REQUIRE(ask_position() == connection);
+        on_endpoint_reply(fixture.state, {connection, status}, fixture.now);
+        CHECK(fixture.result().position == log_position{1, 10});
+    }
+    SECTION("a write was acknowledged meanwhile") {
+        auto write = fixture.request(run_kind::write);
+        write.round = 1;
+        submit_run(fixture.state, "host", write, fixture.now);
+        const auto sent = fixture.open_connections();
+        REQUIRE(sent.size() == 1);
+        endpoint_reply written;
+        written.proof = "proof";
+        written.position = log_position{1, 11};
+        on_endpoint_reply(fixture.state, {sent.front().connection, written}, fixture.now);
+        CHECK(fixture.result().outcome == run_outcome::done);
+        REQUIRE(ask_position() == connection);
+        on_endpoint_reply(fixture.state, {connection, status}, fixture.now);
+        CHECK(fixture.result().outcome != run_outcome::done);
+        // The next request gets its answer, also from an endpoint that has lost a part of its log.
+        const auto fresh = ask_position();
+        CHECK(fresh != connection);
+        on_endpoint_reply(fixture.state, {fresh, status}, fixture.now);
+        CHECK(fixture.result().outcome == run_outcome::done);
+    }
+}
+
 TEST_CASE("an answer that no statement awaits ends its connection and is logged", "[executor][repeated-answers]") {
     executor_fixture fixture;
     submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
