Close four further ways in which a repeated answer could reach a caller

- A caller who gives several statements one id (MIXED): a proof was taken for the awaited statement's if the ids were equal.
Now only a read with the same id and text may have the proof of an earlier one.
- A repeated answer to BEGIN (STALE, PINNED): the first read of a transaction was sent without its position, since BEGIN had checked it; the true answer to BEGIN could be LAGGING.
The first read now names the position too.
- A success that leaves another state (PINNED): a write that ran outside its transaction, or a commit after which the transaction is open, was passed on.
The connection is given up and the answer is in doubt, since a promise could be false.
- A repetition that ends before its outcome (MIXED): its rows joined the next answer's.

--- a/src/camphorstack/executors/answer_matching.cpp
+++ b/src/camphorstack/executors/answer_matching.cpp
@@ -29,6 +29,11 @@
     return false;
 }
 
+std::size_t hash_of(const sent_statement& statement) {
+    // An id holds no blank.
+    return std::hash<std::string>()(statement.id + (statement.is_read ? " r " : " w ") + statement.text);
+}
+
 }  // namespace
 
 const char* to_string(awaited_answer awaited) {
@@ -61,9 +66,8 @@
     return "?";
 }
 
-void delivered_proofs::add(const std::string& proof, const std::string& statement_id) {
-    const std::hash<std::string> hash;
-    const entry added{hash(proof), hash(statement_id)};
+void delivered_proofs::add(const std::string& proof, const sent_statement& answered) {
+    const entry added{std::hash<std::string>()(proof), hash_of(answered)};
     if (this->entries.size() < limit) {
         this->entries.push_back(added);
         return;
@@ -72,24 +76,34 @@
     this->oldest = (this->oldest + 1) % limit;
 }
 
-bool delivered_proofs::belongs_to_other(const std::string& proof, const std::string& statement_id) const {
-    const std::hash<std::string> hash;
-    const auto found = std::ranges::find(this->entries, hash(proof), &entry::proof);
-    return found != this->entries.end() && found->statement_id != hash(statement_id);
+bool delivered_proofs::belongs_to_other(const std::string& proof, const sent_statement& awaited) const {
+    const auto found = std::ranges::find(this->entries, std::hash<std::string>()(proof), &entry::proof);
+    return found != this->entries.end() && (!awaited.is_read || found->statement != hash_of(awaited));
+}
+
+row_hashes hash_rows(const std::vector<std::string>& rows) {
+    row_hashes hashes(rows.size());
+    std::ranges::transform(rows, hashes.begin(), std::hash<std::string>());
+    return hashes;
+}
+
+bool may_continue(const row_hashes& last, const row_hashes& rows) {
+    return !last.empty() && rows.size() > last.size() && std::equal(last.begin(), last.end(), rows.begin());
 }
 
-answer_match match_answer(const endpoint_reply& reply, awaited_answer awaited, const std::string& statement_id,
+answer_match match_answer(const endpoint_reply& reply, awaited_answer awaited, const sent_statement& statement,
                           bool in_transaction, const delivered_proofs& delivered) {
     if (!reply.proof.empty()) {
-        if (delivered.belongs_to_other(reply.proof, statement_id)) {
+        if (delivered.belongs_to_other(reply.proof, statement)) {
             return answer_match::repeated;
         }
-        return awaited == awaited_answer::statement ? answer_match::awaited : answer_match::unexpected;
+        return awaited == awaited_answer::statement && !reply.began_early ? answer_match::awaited : answer_match::unexpected;
     }
     if (reply.code == result_code::none) {
-        return fits_without_proof(reply, awaited, in_transaction) ? answer_match::awaited : answer_match::repeated;
+        const bool fits = !reply.began_early && fits_without_proof(reply, awaited, in_transaction);
+        return fits ? answer_match::awaited : answer_match::repeated;
     }
-    return awaited == awaited_answer::none ? answer_match::unexpected : answer_match::awaited;
+    return awaited == awaited_answer::none || reply.began_early ? answer_match::unexpected : answer_match::awaited;
 }
 
 bool may_be_outdated(const endpoint_reply& status, bool has_delivered_status, const std::optional<log_position>& newest) {
--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -200,8 +200,9 @@
     }
     auto statements = make_setup_statements(connection, request, state.settings.prepared_limit);
     connection.setup_replies = statements.size();
-    // In a transaction, BEGIN has already checked the position.
-    const auto after = request.transaction == 0 ? request.after : std::nullopt;
+    // BEGIN has checked the position, but what was taken for its answer may have been a repetition of an earlier one.
+    const bool begins_with_read = request.kind == run_kind::read && request.start != transaction_start::none;
+    const auto after = request.transaction == 0 || begins_with_read ? request.after : std::nullopt;
     if (request.prepared) {
         statements.push_back(
             {endpoint_command::execute, request.statement_id, request.text, prepared_name(*request.prepared), false, after});
--- a/src/camphorstack/executors/endpoint_connection.hpp
+++ b/src/camphorstack/executors/endpoint_connection.hpp
@@ -59,6 +59,7 @@
     session_state state = session_state::idle;
     std::optional<log_position> position;
     std::optional<endpoint_self_report> status;  ///< Answer to `status` and `demote`.
+    bool began_early = false;                    ///< A part of the reply had arrived before the last statement was sent.
 
     friend bool operator==(const endpoint_reply&, const endpoint_reply&) = default;
 };
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <utility>
 
+#include "camphorstack/executors/connection_setup.hpp"
 #include "camphorstack/executors/dispatch_runs.hpp"
 
 namespace camphorstack {
@@ -168,6 +169,12 @@
     return reply.code != result_code::none || is_for_leader_change(request);
 }
 
+/// Returns true if the endpoint's session is not in the state that a success of the statement leads to.
+bool leaves_other_state(const run_request& request, const endpoint_reply& reply) {
+    const bool stays_open = request.transaction != 0 && request.kind != run_kind::commit;
+    return !is_administrative(request.kind) && reply.state != (stays_open ? session_state::in_transaction : session_state::idle);
+}
+
 void finish_statement(executor_state& state, endpoint_executor& endpoint, executor_connection& connection,
                       const endpoint_reply& reply, instant now) {
     const auto run = std::move(*std::exchange(connection.run, std::nullopt));
@@ -182,6 +189,18 @@
         result.code = result_code::in_doubt;
         result.text = "the endpoint answered after it was replaced as the primary";
     }
+    if (result.outcome == run_outcome::done && leaves_other_state(request, reply)) {
+        // What an endpoint ran outside of its transaction may be kept, so that no promise may be given.
+        const bool is_inside = request.transaction != 0 && request.kind != run_kind::commit;
+        result = run_result{};
+        result.outcome = is_inside ? run_outcome::failed : run_outcome::lost;
+        result.code = result_code::in_doubt;
+        result.state = session_state::failed;
+        result.text = "the endpoint's session is in another state than the statement leads to";
+        drop_connection(state, connection.id);
+        finish_run(state, endpoint, run, std::move(result));
+        return;
+    }
     const bool ended = request.transaction != 0 && reply.state == session_state::idle;
     const bool to_roll_back = reply.state == session_state::failed || (connection.rollback_requested && !ended) ||
                               (request.transaction == 0 && reply.state != session_state::idle);
@@ -307,12 +326,17 @@
     return awaited_answer::none;
 }
 
+sent_statement statement_of(const run_request& request) {
+    const auto shape = request.prepared ? prepared_name(*request.prepared) + " " : std::string();
+    return {request.statement_id, shape + request.text, request.kind == run_kind::read};
+}
+
 /// Matches a reply with the answer that the connection waits for, and records a reply that is not that answer.
 answer_match match_reply(executor_state& state, executor_connection& connection, const endpoint_reply& reply) {
     const auto awaited = awaited_on(connection);
-    const auto id = awaited == awaited_answer::statement ? connection.run->request.statement_id : std::string();
+    const auto statement = awaited == awaited_answer::statement ? statement_of(connection.run->request) : sent_statement();
     const bool in_transaction = connection.stage == connection_stage::running && connection.transaction;
-    auto match = match_answer(reply, awaited, id, in_transaction, connection.delivered);
+    auto match = match_answer(reply, awaited, statement, in_transaction, connection.delivered);
     auto& newest = state.endpoints.at(connection.endpoint).newest_position;
     if (match == answer_match::awaited && awaited == awaited_answer::status && reply.status) {
         if (may_be_outdated(reply, connection.has_delivered_status, newest)) {
@@ -322,12 +346,20 @@
         }
         connection.has_delivered_status = true;
     }
+    auto rows = hash_rows(reply.rows);
+    // A read that is not in a transaction runs again on a new connection, which settles whether the rows are its own.
+    if (match == answer_match::awaited && statement.is_read && !in_transaction && may_continue(connection.last_rows, rows)) {
+        match = answer_match::unexpected;
+    }
     if (match != answer_match::awaited) {
-        state.stray_answers.push_back({connection.endpoint, connection.id, match, awaited, id, reply.code});
+        state.stray_answers.push_back({connection.endpoint, connection.id, match, awaited, statement.id, reply.code});
         return match;
     }
     if (!reply.proof.empty()) {
-        connection.delivered.add(reply.proof, id);
+        connection.delivered.add(reply.proof, statement);
+    }
+    if (!rows.empty()) {
+        connection.last_rows = std::move(rows);
     }
     if (reply.state == session_state::idle && reply.position && (!newest || *newest < *reply.position)) {
         newest = reply.position;
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -74,6 +74,7 @@
     std::size_t setup_replies = 0;     ///< Replies to setup statements that are expected before the reply to BEGIN or to the run.
     std::optional<submitted_run> run;  ///< The run in flight.
     delivered_proofs delivered;
+    row_hashes last_rows;               ///< Of the last answer that had rows.
     bool has_delivered_status = false;  ///< A further status on this connection may be a repetition.
 };
 
--- a/src/camphorstack/session_host/session_entry.hpp
+++ b/src/camphorstack/session_host/session_entry.hpp
@@ -11,10 +11,10 @@
 /// limit.
 void receive_statement(session_host_state& state, const statement_received& event, instant now);
 
-/// Ends a session and its transaction.
 /// Logs and counts a message that the callers' link did not understand.
 void record_refused_message(session_host_state& state, const message_refused& event);
 
+/// Ends a session and its transaction.
 void receive_session_ended(session_host_state& state, const session_ended& event, instant now);
 
 /// Closes a session's connection and ends the session.
--- a/tests/executors/executor.tests.cpp
+++ b/tests/executors/executor.tests.cpp
@@ -410,3 +410,110 @@
     REQUIRE(fixture.state.stray_answers.size() == 1);
     CHECK(fixture.state.stray_answers.front().match == answer_match::unexpected);
 }
+
+namespace {
+
+/// Statements that the executor sent since the last call, without those that open or close connections.
+std::vector<endpoint_statement> take_sent(executor_fixture& fixture) {
+    std::vector<endpoint_statement> sent;
+    for (const auto& batch : fixture.open_connections()) {
+        sent.insert(sent.end(), batch.statements.begin(), batch.statements.end());
+    }
+    return sent;
+}
+
+endpoint_reply proven(const std::string& proof, session_state after) {
+    endpoint_reply answer;
+    answer.proof = proof;
+    answer.state = after;
+    answer.position = log_position{1, 5};
+    return answer;
+}
+
+}  // namespace
+
+TEST_CASE("a repeated answer is not taken for another statement to which its caller gave the same id",
+          "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    fixture.grant_lease(1, millis{5000});
+    auto first = fixture.request(run_kind::write);
+    first.round = 1;
+    first.transaction = 4;
+    first.start = transaction_start::plain;
+    first.statement_id = "same";
+    first.text = "WRITE x 1";
+    submit_run(fixture.state, "host", first, fixture.now);
+    fixture.open_connections();
+    fixture.reply(1, result_code::none, session_state::in_transaction);
+    fixture.open_connections();
+    const auto written = proven("proof of the write", session_state::in_transaction);
+    on_endpoint_reply(fixture.state, {1, written}, fixture.now);
+    CHECK(fixture.result().proof == written.proof);
+    auto second = fixture.request(GENERATE(run_kind::read, run_kind::commit));
+    second.round = 1;
+    second.transaction = 4;
+    second.statement_id = "same";
+    second.text = second.kind == run_kind::read ? "READ y" : "COMMIT";
+    submit_run(fixture.state, "host", second, fixture.now);
+    REQUIRE(take_sent(fixture).size() == 1);
+    on_endpoint_reply(fixture.state, {1, written}, fixture.now);
+    CHECK(fixture.state.results.empty());
+}
+
+TEST_CASE("a repeated answer to BEGIN does not send a read that the endpoint may run before it has the position",
+          "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    const auto begin = [&](std::uint64_t transaction, const log_position& after) {
+        auto run = fixture.request(run_kind::read);
+        run.transaction = transaction;
+        run.start = transaction_start::read_only;
+        run.after = after;
+        submit_run(fixture.state, "host", run, fixture.now);
+        return take_sent(fixture);
+    };
+    REQUIRE(begin(4, log_position{1, 4}).size() == 1);
+    // Its position is 1.5.
+    fixture.reply(1, result_code::none, session_state::in_transaction);
+    REQUIRE(take_sent(fixture).size() == 1);
+    fixture.reply(1, result_code::none, session_state::in_transaction);
+    auto commit = fixture.request(run_kind::commit);
+    commit.transaction = 4;
+    submit_run(fixture.state, "host", commit, fixture.now);
+    REQUIRE(take_sent(fixture).size() == 1);
+    fixture.reply(1);
+    REQUIRE(begin(5, log_position{1, 9}).size() == 1);
+    // The answer to the first BEGIN, for the second time. The endpoint will answer the second one with LAGGING.
+    fixture.reply(1, result_code::none, session_state::in_transaction);
+    for (const auto& sent : take_sent(fixture)) {
+        CHECK(sent.after == log_position{1, 9});
+    }
+}
+
+TEST_CASE("a success that leaves another state than its statement leads to is not passed on", "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    fixture.grant_lease(1, millis{5000});
+    auto first = fixture.request(run_kind::write);
+    first.round = 1;
+    first.transaction = 4;
+    first.start = transaction_start::plain;
+    submit_run(fixture.state, "host", first, fixture.now);
+    fixture.open_connections();
+    fixture.reply(1, result_code::none, session_state::in_transaction);
+    fixture.open_connections();
+    SECTION("a write of a transaction that ran outside of it") {
+        on_endpoint_reply(fixture.state, {1, proven("proof of the write", session_state::idle)}, fixture.now);
+    }
+    SECTION("a commit after which the transaction is still open") {
+        on_endpoint_reply(fixture.state, {1, proven("proof of the write", session_state::in_transaction)}, fixture.now);
+        CHECK(fixture.result().outcome == run_outcome::done);
+        auto commit = fixture.request(run_kind::commit);
+        commit.round = 1;
+        commit.transaction = 4;
+        submit_run(fixture.state, "host", commit, fixture.now);
+        REQUIRE(take_sent(fixture).size() == 1);
+        on_endpoint_reply(fixture.state, {1, proven("another", session_state::in_transaction)}, fixture.now);
+    }
+    for (const auto& item : fixture.state.results) {
+        CHECK(item.result.outcome != run_outcome::done);
+    }
+}
--- a/tests/platform/repeated_answers.tests.cpp
+++ b/tests/platform/repeated_answers.tests.cpp
@@ -21,6 +21,27 @@
     return caller.received;
 }
 
+/// Checks that callers get their own answers, or errors, from an instance that repeats only the rows of its answers.
+void check_answers_with_cut_repetitions(answer_repetition repetition) {
+    platform_fixture system;
+    system.primary.repetition = repetition;
+    raw_client caller(system.callers);
+    open_session(caller);
+    for (int i = 0; i < 4; ++i) {
+        const auto number = std::to_string(i);
+        CAPTURE(number);
+        ask(caller, "w" + number + " WRITE item " + number);
+        const auto answer = ask(caller, "r" + number + " READ item");
+        const bool is_own = answer.starts_with("ROW " + number + "\r\nDONE proof-r" + number + "\r\n");
+        CAPTURE(answer);
+        CHECK((is_own || answer.starts_with("ERROR ")));
+        const auto other = ask(caller, "o" + number + " READ other");
+        const bool is_own_other = other.starts_with("ROW none\r\nDONE proof-o" + number + "\r\n");
+        CAPTURE(other);
+        CHECK((is_own_other || other.starts_with("ERROR ")));
+    }
+}
+
 }  // namespace
 
 TEST_CASE("an answer that an instance sends twice is not taken for another statement's answer", "[platform][repeated-answers]") {
@@ -67,3 +88,13 @@
     }
     CHECK(ask(caller, "last READ item").starts_with("ROW 9\r\nDONE proof-last\r\n"));
 }
+
+TEST_CASE("rows of a repeated answer that is cut off before the next statement do not join its answer",
+          "[platform][repeated-answers]") {
+    check_answers_with_cut_repetitions(answer_repetition::cut_at_once);
+}
+
+TEST_CASE("rows of a repeated answer that is cut off after the next statement do not join its answer",
+          "[platform][repeated-answers]") {
+    check_answers_with_cut_repetitions(answer_repetition::cut_before_next);
+}
--- a/tests/platform/wire_instance.cpp
+++ b/tests/platform/wire_instance.cpp
@@ -64,6 +64,11 @@
     return text + "READY " + to_word(reply.state) + " " + to_word(reply.position) + "\r\n";
 }
 
+/// Returns the part of an answer before its outcome.
+std::string rows_of(const std::string& answer) {
+    return answer.starts_with("ROW ") ? answer.substr(0, answer.find("DONE ")) : std::string();
+}
+
 }  // namespace
 
 wire_instance::wire_instance(fd_watcher& sockets, session_tests::database_model& source, endpoint_id id)
@@ -134,6 +139,12 @@
         case answer_repetition::after_next:
             asked.socket->write(messages + asked.last_answer);
             break;
+        case answer_repetition::cut_at_once:
+            asked.socket->write(messages + rows_of(messages));
+            break;
+        case answer_repetition::cut_before_next:
+            asked.socket->write(rows_of(asked.last_answer) + messages);
+            break;
     }
     asked.last_answer = messages;
 }
