Keep the link to a host in use when one message is too large for it

Callers whose statement runs at another host got no answer to a read of more than the frame limit (1.5 MB) until its time limits ended. A session with large values (two SETs of 750 kB) or such an answer also made hosts take each other for unreachable, so that statements of all callers went to substitute owners.

Cause: peer_links reports a message above the frame limit as not sent, as it does for a peer that is not connected. The session host marked the peer as unreachable for both, and did nothing about an unsent result. Only a new link ends that mark, and the usable link stays open.

- peer_not_sent says why.
A message that is too large changes nothing about the peer and is logged (message_too_large).
- In place of a result that is too large, the origin gets a lost run: a read is tried elsewhere, then answered with TIMEOUT; a transaction is aborted.
Nothing is promised about writes.

The simulated fleet now encodes and decodes runs and their results, as the links do. The test of peer_links checks the reason.

--- a/src/camphorstack/hosts/host_events.hpp
+++ b/src/camphorstack/hosts/host_events.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -29,10 +30,16 @@
     friend bool operator==(const peer_disconnected&, const peer_disconnected&) = default;
 };
 
-/// A message was certainly not sent, because the peer was not connected yet.
+enum class not_sent_cause : std::uint8_t {
+    unreachable,  ///< The peer is not connected or does not read.
+    too_large,    ///< The message is above the frame limit. The link to the peer is not affected.
+};
+
+/// A message was certainly not sent.
 struct peer_not_sent {
     host_id peer;
     peer_body body;
+    not_sent_cause cause = not_sent_cause::unreachable;
 
     friend bool operator==(const peer_not_sent&, const peer_not_sent&) = default;
 };
--- a/src/camphorstack/links/peer_links.cpp
+++ b/src/camphorstack/links/peer_links.cpp
@@ -200,7 +200,7 @@
         bytes = encode(action.message);
     } catch (const format_error&) {
         ++this->counters.oversized;
-        this->emit(peer_not_sent{action.peer, action.message.body});
+        this->emit(peer_not_sent{action.peer, action.message.body, not_sent_cause::too_large});
         return;
     }
     auto found = this->outgoing.find(action.peer);
--- a/src/camphorstack/links/peer_links.hpp
+++ b/src/camphorstack/links/peer_links.hpp
@@ -38,7 +38,8 @@
 
     /// Sends a message, opening a link if there is none. Messages wait in a bounded buffer while the link is being opened. If it
     /// cannot be opened, each of them is reported as `peer_not_sent`, followed by one `peer_disconnected`. A broken link of
-    /// either direction is reported as `peer_disconnected`; the announced end of an idle link is not reported.
+    /// either direction is reported as `peer_disconnected`; the announced end of an idle link is not reported. A message above
+    /// the frame limit is reported as `peer_not_sent` without any effect on the link.
     void send(const send_to_peer& action);
 
     /// Listening address, "ip:port", with the port that the kernel chose if port 0 was requested.
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -510,8 +510,11 @@
     }
 }
 
-void fail_unsent_run(session_host_state& state, run_id run, instant now) {
-    fail_run(state, run, run_outcome::not_run, "the endpoint's owner cannot be reached", now);
+void fail_unsent_run(session_host_state& state, run_id run, not_sent_cause cause, instant now) {
+    const char* reason = cause == not_sent_cause::too_large
+                             ? "the statement and its session's values are too large to be passed on"
+                             : "the endpoint's owner cannot be reached";
+    fail_run(state, run, run_outcome::not_run, reason, now);
 }
 
 void fail_session_statements(session_host_state& state, caller_session& session, const char* reason, instant now) {
--- a/src/camphorstack/session_host/session_entry.hpp
+++ b/src/camphorstack/session_host/session_entry.hpp
@@ -27,7 +27,7 @@
 void fail_runs_at(session_host_state& state, const host_id& host, instant now);
 
 /// Fails a run that was certainly not sent.
-void fail_unsent_run(session_host_state& state, run_id run, instant now);
+void fail_unsent_run(session_host_state& state, run_id run, not_sent_cause cause, instant now);
 
 /// Retries the operations that wait for tokens or for a leader, and fails those whose time limit has passed.
 void retry_waiting(session_host_state& state, instant now);
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -259,14 +259,32 @@
         handle_broken_link(this->state, event.peer, this->now);
     }
     void operator()(const peer_not_sent& event) const {
-        this->mark_unreachable(event.peer);
+        if (event.cause == not_sent_cause::too_large) {
+            log_decision(this->state, "message_too_large", "host=" + event.peer, true);
+            this->replace_oversized_result(event);
+        } else {
+            this->mark_unreachable(event.peer);
+        }
         if (const auto* request = std::get_if<run_request>(&event.body)) {
-            fail_unsent_run(this->state, request->id, this->now);
+            fail_unsent_run(this->state, request->id, event.cause, this->now);
         } else if (const auto* tokens = std::get_if<token_request>(&event.body)) {
             fail_token_request(this->state.shares, event.peer, *tokens, this->now);
             retry_waiting(this->state, this->now);
         }
     }
+    /// Tells the origin of a run whose result is too large for a link that there will be no result.
+    void replace_oversized_result(const peer_not_sent& event) const {
+        if (const auto* result = std::get_if<run_result>(&event.body)) {
+            run_result replacement;
+            replacement.id = result->id;
+            replacement.outcome = run_outcome::lost;
+            replacement.code = result_code::timeout;
+            replacement.text = "the endpoint's answer is too large to be passed on";
+            replacement.wait = result->wait;
+            replacement.transaction_open = result->transaction_open;
+            send_peer(this->state, event.peer, std::move(replacement));
+        }
+    }
     void mark_unreachable(const host_id& peer) const {
         if (this->state.broken_links.try_emplace(peer, this->now).second) {
             log_decision(this->state, "peer_lost", "host=" + peer, true);
--- a/tests/links/peer_links.tests.cpp
+++ b/tests/links/peer_links.tests.cpp
@@ -1,5 +1,6 @@
 #include "camphorstack/links/peer_links.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <ctime>
 #include <memory>
@@ -187,7 +188,9 @@
     }
     a.send("b", b.links.bound_address(), document_reply{1, std::string(peer_frame_limit, 'x')});
     REQUIRE(run_until([&] { return b.all<peer_message>().size() == 2; }));
-    CHECK(a.all<peer_not_sent>().size() == 2);
+    const auto unsent = a.all<peer_not_sent>();
+    CHECK(unsent.size() == 2);
+    CHECK(std::ranges::count(unsent, not_sent_cause::too_large, &peer_not_sent::cause) == 1);
     CHECK(a.links.counters().oversized == 1);
 }
 
--- a/tests/session_fleet/session_fleet.cpp
+++ b/tests/session_fleet/session_fleet.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "camphorstack/links/peer_codec.hpp"
+#include "camphorstack/support/errors.hpp"
 #include "camphorstack/support/g_pointer.hpp"
 
 namespace camphorstack::session_tests {
@@ -23,6 +25,18 @@
     return hash.get();
 }
 
+/// Encodes and decodes runs and their results, like the links between hosts. Returns nothing for a message above the frame limit.
+std::optional<peer_message> pass_over_link(const peer_message& message) {
+    if (!std::holds_alternative<run_request>(message.body) && !std::holds_alternative<run_result>(message.body)) {
+        return message;
+    }
+    try {
+        return decode(encode(message));
+    } catch (const format_error&) {
+        return std::nullopt;
+    }
+}
+
 std::pair<std::string, std::string> ordered(const std::string& a, const std::string& b) {
     return a < b ? std::pair(a, b) : std::pair(b, a);
 }
@@ -475,11 +489,16 @@
         this->deliver_after(delay * 2, host, peer_disconnected{action.peer});
         return;
     }
+    const auto received = pass_over_link(action.message);
+    if (!received) {
+        this->deliver_after(millis{0}, host, peer_not_sent{action.peer, action.message.body, not_sent_cause::too_large});
+        return;
+    }
     if (this->hosts.at(host).state->broken_links.contains(action.peer)) {
         this->deliver_after(delay * 2, host, peer_connected{action.peer});
     }
     const auto process = target->second.process;
-    this->after(delay, [this, host, peer = action.peer, process, message = action.message] {
+    this->after(delay, [this, host, peer = action.peer, process, message = *received] {
         if (!this->is_cut(host, peer)) {
             this->deliver(peer, process, message);
         }
