Test texts with any bytes between hosts and further ambiguous HTTP requests

Texts with NUL, LF, CR, CR LF, 0xff and of 1 MB pass between two hosts whole in each text field of runs and results. The callers' HTTP interface refuses bodies with a NUL, and ten more headers that leave the end of a request in doubt.

--- a/tests/links/caller_server.tests.cpp
+++ b/tests/links/caller_server.tests.cpp
@@ -125,6 +125,8 @@
         {with(R"("session":null)"), "session"},
         {with(R"("session":"\u0000")"), "U+0000"},
         {with("\"session\":\"\xff\""), "UTF-8"},
+        {with(std::string("\"session\":\"\0\"", 13)), "UTF-8"},
+        {good_body + std::string(1, '\0'), "UTF-8"},
         {with(R"("route":"q")"), "more than once"},
         {R"({"route":"r","database":"d","kind":"erase","statement":"S"})", "kind"},
         {R"({"route":"r","database":"d","statement":"S"})", "kind"},
@@ -149,6 +151,17 @@
         "Content-Length: 5\r\nContent-Length: 6\r\n",
         "Content-Length: +5\r\n",
         "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "Transfer-Encoding : chunked\r\n",
+        "Transfer-Encoding: \x0b"
+        "chunked\r\n",
+        "Content-Length: 5, 5\r\n",
+        "Content-Length: 5\r\n 6\r\n",
+        "Content-Length: 0x5\r\n",
+        "Content-Length: 99999999999999999999\r\n",
+        std::string("Content-Length: 5\0\r\n", 20),
+        "X: a\rTransfer-Encoding: chunked\r\n",
     }));
     test_server host;
     raw_client client(host.server.bound_address());
--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -82,6 +82,41 @@
     }
 }
 
+// Guards against texts that are cut at a NUL, or changed because of their bytes, between two hosts.
+TEST_CASE("texts with any bytes pass between hosts whole", "[peer-codec][whole-answer]") {
+    const std::vector<std::string> texts{
+        "",         std::string(1, '\0'),       std::string("a\0b", 3),        "a\nb", "a\rb", "\r\n",
+        "\xff\xfe", std::string("\0\xff\n", 3), std::string(1'000'000, '\xff')};
+    for (const auto& text : texts) {
+        CAPTURE(text.size(), text.substr(0, 8));
+        run_request request;
+        request.id = 7;
+        std::vector<peer_body> bodies;
+        for (std::string run_request::*field :
+             {&run_request::endpoint, &run_request::workspace, &run_request::statement_id, &run_request::text}) {
+            auto changed = request;
+            changed.*field = text;
+            bodies.emplace_back(changed);
+        }
+        auto prepared = request;
+        prepared.prepared = prepared_shape{text, true};
+        auto named = request;
+        named.values = {{text, "value"}, {"name", ""}};
+        auto valued = request;
+        valued.values = {{"name", text}, {"", ""}};
+        run_result result;
+        result.text = text;
+        run_result proved;
+        proved.proof = text;
+        run_result answered;
+        answered.rows = {"", text, "", "end"};
+        bodies.insert(bodies.end(), {prepared, named, valued, result, proved, answered});
+        for (const auto& body : bodies) {
+            CHECK((decode(encode({"a", body})) == peer_message{"a", body}));
+        }
+    }
+}
+
 TEST_CASE("a forwarded read without an age bound is not read as one with a bound of zero", "[peer-codec]") {
     database_request request;
     request.id = "a-1-2";
