Quote values of others in the log so that they forge and hide no fields

Ids of callers may hold any bytes but blanks and line ends. A request whose id began with a quote, or held a control character, was not found by `camphorstack explain`; ids with different control characters looked the same; an id of thousands of bytes pushed the code and the reason out of its line. A reason that quoted ` request=ID` or ` database=NAME` counted as a line of that request or database.

Cause: fields were joined without escaping, a reason was only put between quotes, and `explain` looked for " name=" anywhere in a line.

- log_value and log_quoted write values of callers, instances and the store: a plain word as it is, any other text in quotes with escapes, long texts cut with their length.
- `explain` reads the fields one after another, with quotes and escapes, and finds an id as it is or as the log has it.

--- a/src/camphorstack/cli/request_trace.cpp
+++ b/src/camphorstack/cli/request_trace.cpp
@@ -5,6 +5,9 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <string_view>
+
+#include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
 
@@ -30,20 +33,30 @@
     std::optional<std::int64_t> time_ms;  ///< Time of the line on the host's clock.
 };
 
-/// Returns the value of a field "name=value". The value ends at a blank, or at the closing quote.
-std::string field(const std::string& text, const std::string& name) {
-    const auto key = name + "=";
-    auto position = text.find(key);
-    while (position != std::string::npos && position > 0 && text[position - 1] != ' ') {
-        position = text.find(key, position + 1);
+/// Returns the end of the field that begins at `begin`: the next blank outside of quotes. A value is in quotes if it begins with
+/// one; a backslash in it hides the next character.
+std::size_t field_end(std::string_view text, std::size_t begin) {
+    auto position = std::min(text.find_first_of(" =", begin), text.size());
+    if (text.substr(position).starts_with("=\"")) {
+        position += 2;
+        while (position < text.size() && text[position] != '"') {
+            position += text[position] == '\\' ? 2 : 1;
+        }
     }
-    if (position == std::string::npos) {
-        return {};
+    return std::min(text.find(' ', position), text.size());
+}
+
+/// Returns the value of the first field "name=value", as the log has it; empty if there is none.
+std::string field(std::string_view text, std::string_view name) {
+    for (std::size_t begin = 0; begin < text.size();) {
+        const auto end = field_end(text, begin);
+        const auto candidate = text.substr(begin, end - begin);
+        if (candidate.starts_with(name) && candidate.substr(name.size()).starts_with('=')) {
+            return std::string(candidate.substr(name.size() + 1));
+        }
+        begin = end + 1;
     }
-    const auto begin = position + key.size();
-    const bool quoted = begin < text.size() && text[begin] == '"';
-    const auto end = quoted ? text.find('"', begin + 1) : text.find(' ', begin);
-    return text.substr(begin, end == std::string::npos ? end : end - begin + (quoted ? 1 : 0));
+    return {};
 }
 
 std::vector<log_line> read_lines(const std::string& text) {
@@ -89,7 +102,10 @@
     std::vector<std::vector<log_line>> parsed;
     traced_objects subject;
     parsed.reserve(logs.size());
-    const auto names_request = [&request](const log_line& line) { return field(line.text, "request") == request; };
+    const auto names_request = [&request, logged = log_value(request)](const log_line& line) {
+        const auto named = field(line.text, "request");
+        return !named.empty() && (named == logged || named == request);
+    };
     for (const auto& log : logs) {
         parsed.push_back(read_lines(log.text));
         for (const auto& line : parsed.back()) {
--- a/src/camphorstack/cli/serve_sessions.cpp
+++ b/src/camphorstack/cli/serve_sessions.cpp
@@ -17,6 +17,7 @@
 #include "camphorstack/session_host/session_host_task.hpp"
 #include "camphorstack/support/decision_log.hpp"
 #include "camphorstack/support/errors.hpp"
+#include "camphorstack/support/log_value.hpp"
 
 ABSL_DECLARE_FLAG(std::string, settings);
 
@@ -71,7 +72,8 @@
                                                  settings.entry.refusal_lifetime});
             std::cout << "event=settings_reloaded file=" << this->path << std::endl;
         } catch (const error& failure) {
-            std::cout << "event=settings_not_reloaded file=" << this->path << " reason=\"" << failure.what() << "\"" << std::endl;
+            std::cout << "event=settings_not_reloaded file=" << this->path << " reason=" << log_quoted(failure.what())
+                      << std::endl;
         }
         // Also set if the settings have errors, so that the errors are reported only once. A file that cannot be read is reported
         // at each poll.
--- a/src/camphorstack/coordination/endpoint_requests.cpp
+++ b/src/camphorstack/coordination/endpoint_requests.cpp
@@ -5,6 +5,7 @@
 
 #include "camphorstack/coordination/candidates.hpp"
 #include "camphorstack/coordination/coordinator.hpp"
+#include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
 
@@ -49,7 +50,8 @@
             return;
         }
         request->text = std::to_string(leader->term);
-        log_decision(state, "endpoint_demoted", "endpoint=" + former + " term=" + request->text + " successor=" + change.target);
+        log_decision(state, "endpoint_demoted",
+                     "endpoint=" + log_value(former) + " term=" + request->text + " successor=" + log_value(change.target));
         start_run(state, state.settings.self.id, std::move(*request), now);
     }
 }
@@ -76,7 +78,7 @@
         auto& newest = coordination.newest_terms[database];
         newest = std::max(newest, result.status->term);
         log_decision(state, "endpoint_status",
-                     "endpoint=" + endpoint + " primary=" + (result.status->is_primary ? "yes" : "no") + " term=" +
+                     "endpoint=" + log_value(endpoint) + " primary=" + (result.status->is_primary ? "yes" : "no") + " term=" +
                          std::to_string(result.status->term) + " received=" + std::to_string(result.status->received.term) + "." +
                          std::to_string(result.status->received.index));
     }
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -5,6 +5,7 @@
 #include "camphorstack/coordination/coordinator.hpp"
 #include "camphorstack/coordination/endpoint_requests.hpp"
 #include "camphorstack/coordination/leader_suspicion.hpp"
+#include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
 
@@ -59,9 +60,9 @@
     change.step = step;
     change.step_began = now;
     log_decision(state, "leader_change",
-                 "database=" + change.record.database + " endpoint=" + change.record.endpoint +
+                 "database=" + log_value(change.record.database) + " endpoint=" + log_value(change.record.endpoint) +
                      " round=" + std::to_string(change.record.round) + " step=" + to_string(step) + " reason=" + change.reason +
-                     (change.target.empty() ? "" : " target=" + change.target));
+                     (change.target.empty() ? "" : " target=" + log_value(change.target)));
 }
 
 /// Returns true if no host has work left on the former leader or may start any: all members have reported this or may not use
@@ -151,7 +152,8 @@
 void keep_old_leader(session_host_state& state, leader_change& change, instant now) {
     const auto old = change.record.endpoint;
     state.coordination.leaders_kept_at[old] = now;
-    log_decision(state, "leader_kept", "database=" + change.record.database + " endpoint=" + old + " reason=" + change.reason);
+    log_decision(state, "leader_kept",
+                 "database=" + log_value(change.record.database) + " endpoint=" + log_value(old) + " reason=" + change.reason);
     if (change.promotion_sent) {
         // Another endpoint may have become the primary without the old leader's knowledge. The platform decides which one it is.
         confirm_candidate(state, change, old, now);
@@ -170,7 +172,7 @@
     }
     const auto replicas = replicas_of(state, change);
     log_decision(state, "leader_change_waits",
-                 "database=" + change.record.database + " replicas=" + std::to_string(replicas.size()) +
+                 "database=" + log_value(change.record.database) + " replicas=" + std::to_string(replicas.size()) +
                      " answered=" + std::to_string(count_known(change, replicas)),
                  true);
     change.statuses.clear();
@@ -481,8 +483,9 @@
             continue;
         }
         change.pending_call.reset();
-        log_decision(state, "promotion_answered",
-                     "database=" + database + " target=" + change.target + " status=" + to_string(answer.status));
+        log_decision(
+            state, "promotion_answered",
+            "database=" + log_value(database) + " target=" + log_value(change.target) + " status=" + to_string(answer.status));
         if (answer.status == promotion_status::accepted) {
             change.statuses.clear();
             enter_step(state, change, change_step::awaiting, now);
--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -8,6 +8,7 @@
 #include "camphorstack/session_host/endpoint_owners.hpp"
 #include "camphorstack/session_host/share_members.hpp"
 #include "camphorstack/support/errors.hpp"
+#include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
 
@@ -22,7 +23,8 @@
                  const std::string& reason) {
     const auto key = object_key(collection_id, item.name);
     if (std::exchange(state.logged_problems[key], reason) != reason) {
-        log_decision(state, kind, "object=" + key + "@" + std::to_string(item.revision) + " reason=\"" + reason + "\"", true);
+        log_decision(state, kind,
+                     "object=" + log_value(key + "@" + std::to_string(item.revision)) + " reason=" + log_quoted(reason), true);
     }
 }
 
@@ -153,13 +155,14 @@
         if (before == known.end() || before->second.draining != entry.draining || before->second.is_primary != entry.is_primary ||
             before->second.address != entry.address) {
             log_decision(state, "endpoint_changed",
-                         "endpoint=" + id + " database=" + entry.database + " address=" + entry.address +
-                             " draining=" + (entry.draining ? "yes" : "no") + " primary=" + (entry.is_primary ? "yes" : "no"));
+                         "endpoint=" + log_value(id) + " database=" + log_value(entry.database) +
+                             " address=" + log_value(entry.address) + " draining=" + (entry.draining ? "yes" : "no") +
+                             " primary=" + (entry.is_primary ? "yes" : "no"));
         }
     }
     for (const auto& [id, entry] : known) {
         if (!next.contains(id)) {
-            log_decision(state, "endpoint_removed", "endpoint=" + id + " database=" + entry.database);
+            log_decision(state, "endpoint_removed", "endpoint=" + log_value(id) + " database=" + log_value(entry.database));
         }
     }
     known = std::move(next);
@@ -182,7 +185,7 @@
         for (const auto& name : known) {
             names += (names.empty() ? "" : ",") + name;
         }
-        log_decision(state, "evacuations_changed", "data_centres=" + names);
+        log_decision(state, "evacuations_changed", "data_centres=" + log_value(names));
         update_endpoint_shares(state, now);
     }
 }
@@ -242,7 +245,7 @@
     }
     known = {record, revision};
     log_decision(state, "leader_adopted",
-                 "database=" + record.database + " endpoint=" + record.endpoint +
+                 "database=" + log_value(record.database) + " endpoint=" + log_value(record.endpoint) +
                      " phase=" + (record.phase == leader_phase::serving ? "serving" : "changing") +
                      " planned=" + (record.planned ? "yes" : "no") + " round=" + std::to_string(record.round));
     update_leader_leases(state, now);
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -9,6 +9,7 @@
 #include "camphorstack/session_host/session_answers.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
 #include "camphorstack/session_host/shutdown.hpp"
+#include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
 
@@ -41,12 +42,12 @@
 }
 
 std::string describe(const caller_session& session, const open_operation& operation) {
-    return "request=" + operation.requested.id + " workspace=" + operation.access.workspace + " database=" + session.database +
-           " service=" + operation.access.database;
+    return "request=" + log_value(operation.requested.id) + " workspace=" + log_value(operation.access.workspace) +
+           " database=" + log_value(session.database) + " service=" + log_value(operation.access.database);
 }
 
 std::string describe_target(const open_operation& operation, instant now) {
-    return " endpoint=" + operation.target.endpoint + " host=" + operation.target.host +
+    return " endpoint=" + log_value(operation.target.endpoint) + " host=" + log_value(operation.target.host) +
            " round=" + std::to_string(operation.target.round) + " tried=" + std::to_string(operation.tried.size()) +
            " ms=" + std::to_string((now - operation.arrived).count);
 }
@@ -103,10 +104,10 @@
     clear_operation(state, session);
     count_operation(state, session, operation, code, now);
 
-    log_decision(
-        state, "request_failed",
-        describe(session, operation) + describe_target(operation, now) + " code=" + to_string(code) + " reason=\"" + text + "\"",
-        true);
+    log_decision(state, "request_failed",
+                 describe(session, operation) + describe_target(operation, now) + " code=" + to_string(code) +
+                     " reason=" + log_quoted(text),
+                 true);
     fail_statement(state, session, code, text, now);
     advance_session(state, session, now);
 }
@@ -263,7 +264,8 @@
     operation.arrived = now;
     auto access = resolve_access(state, session, now);
     if (const auto* refused = std::get_if<access_refusal>(&access)) {
-        log_access_refused(state, "access_refused", "request=" + requested.id + " database=" + session.database, *refused, now);
+        log_access_refused(state, "access_refused",
+                           "request=" + log_value(requested.id) + " database=" + log_value(session.database), *refused, now);
         session.operation = operation;
         fail_operation(state, session, refused->code, refused->text, now);
         return;
@@ -315,7 +317,7 @@
     } else {
         log_decision(state, "request_failed",
                      describe(session, operation) + describe_target(operation, now) + " code=" + to_string(result.code) +
-                         " reason=\"" + result.text + "\"",
+                         " reason=" + log_quoted(result.text),
                      true);
     }
     if (session.transaction) {
@@ -415,7 +417,8 @@
     for (auto& [id, session] : state.sessions) {
         if (session.transaction && session.transaction->target && !session.operation && now - session.last_used >= limit) {
             log_decision(state, "transaction_idle",
-                         "database=" + session.database + " endpoint=" + session.transaction->target->endpoint +
+                         "database=" + log_value(session.database) +
+                             " endpoint=" + log_value(session.transaction->target->endpoint) +
                              " idle_ms=" + std::to_string((now - session.last_used).count));
             leave_transaction(state, session, now);
             session.state = session_state::failed;
@@ -442,9 +445,9 @@
 void abort_transaction(session_host_state& state, caller_session& session, const statement& requested, const char* reason,
                        instant now) {
     log_decision(state, "transaction_refused",
-                 "request=" + requested.id + " workspace=" + session.transaction->access.workspace +
+                 "request=" + log_value(requested.id) + " workspace=" + log_value(session.transaction->access.workspace) +
                      " document=" + std::to_string(state.catalog.content->version) + describe_document_age(state, now) +
-                     " reason=\"" + reason + "\"",
+                     " reason=" + log_quoted(reason),
                  true);
     if (requested.kind == statement_kind::commit) {
         // A commit ends the transaction whatever its outcome.
--- a/src/camphorstack/session_host/session_answers.cpp
+++ b/src/camphorstack/session_host/session_answers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "camphorstack/support/log_value.hpp"
+
 namespace camphorstack {
 
 namespace {
@@ -81,7 +83,7 @@
     ++state.access_refusals[refusal.code];
     log_decision(state, kind,
                  subject + " code=" + to_string(refusal.code) + " document=" + std::to_string(state.catalog.content->version) +
-                     describe_document_age(state, now) + " reason=\"" + refusal.text + "\"",
+                     describe_document_age(state, now) + " reason=" + log_quoted(refusal.text),
                  true);
 }
 
--- a/src/camphorstack/session_host/session_entry.cpp
+++ b/src/camphorstack/session_host/session_entry.cpp
@@ -7,6 +7,7 @@
 #include "camphorstack/session_host/operations.hpp"
 #include "camphorstack/session_host/session_answers.hpp"
 #include "camphorstack/session_host/shutdown.hpp"
+#include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
 
@@ -56,7 +57,7 @@
     if (requested.kind == statement_kind::malformed) {
         ++state.refused_messages[result_code::malformed];
         log_decision(state, "statement_refused",
-                     "request=" + requested.id + " database=" + session.database +
+                     "request=" + log_value(requested.id) + " database=" + log_value(session.database) +
                          " code=malformed bytes=" + std::to_string(requested.text.size()),
                      true);
         answer_error(state, session, result_code::malformed, "the statement is not understood");
@@ -136,7 +137,7 @@
     session.key_sha256 = event.key_sha256;
     session.last_used = now;
     if (const auto refused = reason_to_refuse(state, session, now)) {
-        log_access_refused(state, "session_refused", "database=" + event.database, *refused, now);
+        log_access_refused(state, "session_refused", "database=" + log_value(event.database), *refused, now);
         state.actions.emplace_back(reject_session{event.session, refused->code, refused->text});
         return;
     }
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -12,6 +12,7 @@
 #include "camphorstack/session_host/session_host_state.hpp"
 #include "camphorstack/session_host/share_members.hpp"
 #include "camphorstack/session_host/shutdown.hpp"
+#include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
 
@@ -83,9 +84,9 @@
     for (const auto& stray : std::exchange(state.executor.stray_answers, {})) {
         ++state.stray_answers[stray.match];
         log_decision(state, "stray_answer",
-                     "endpoint=" + stray.endpoint + " connection=" + std::to_string(stray.connection) +
-                         " match=" + to_string(stray.match) + " awaited=" + to_string(stray.awaited) +
-                         " request=" + (stray.statement_id.empty() ? "-" : stray.statement_id) + " code=" + to_string(stray.code),
+                     "endpoint=" + log_value(stray.endpoint) + " connection=" + std::to_string(stray.connection) +
+                         " match=" + to_string(stray.match) + " awaited=" + to_string(stray.awaited) + " request=" +
+                         (stray.statement_id.empty() ? "-" : log_value(stray.statement_id)) + " code=" + to_string(stray.code),
                      true);
     }
 }
@@ -118,8 +119,8 @@
         ++state.store_calls.answers[answer.status];
     }
     if (!answer.problem.empty()) {
-        log_decision(state, "store_answer_unreadable", "call=" + std::to_string(answer.id) + " reason=\"" + answer.problem + "\"",
-                     true);
+        log_decision(state, "store_answer_unreadable",
+                     "call=" + std::to_string(answer.id) + " reason=" + log_quoted(answer.problem), true);
     }
     for (auto& watch : state.catalog.watches) {
         if (!owns_call(watch, answer.id)) {
@@ -248,7 +249,7 @@
     }
     void operator()(const peer_connected& event) const {
         if (this->state.broken_links.erase(event.peer) != 0) {
-            log_decision(this->state, "peer_regained", "host=" + event.peer);
+            log_decision(this->state, "peer_regained", "host=" + log_value(event.peer));
             update_substitute_owners(this->state);
         }
     }
@@ -260,7 +261,7 @@
     }
     void operator()(const peer_not_sent& event) const {
         if (event.cause == not_sent_cause::too_large) {
-            log_decision(this->state, "message_too_large", "host=" + event.peer, true);
+            log_decision(this->state, "message_too_large", "host=" + log_value(event.peer), true);
             this->replace_oversized_result(event);
         } else {
             this->mark_unreachable(event.peer);
@@ -287,7 +288,7 @@
     }
     void mark_unreachable(const host_id& peer) const {
         if (this->state.broken_links.try_emplace(peer, this->now).second) {
-            log_decision(this->state, "peer_lost", "host=" + peer, true);
+            log_decision(this->state, "peer_lost", "host=" + log_value(peer), true);
             update_substitute_owners(this->state);
         }
     }
--- a/src/camphorstack/session_host/shutdown.cpp
+++ b/src/camphorstack/session_host/shutdown.cpp
@@ -5,6 +5,7 @@
 
 #include "camphorstack/coordination/coordinator.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
+#include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
 
@@ -100,8 +101,8 @@
     refused.code = continues ? result_code::aborted : result_code::busy;
     refused.text = "the endpoint's owner is shutting down";
     log_decision(state, "run_refused",
-                 "request=" + request.statement_id + " endpoint=" + request.endpoint + " origin=" + origin +
-                     " code=" + to_string(refused.code) + " reason=shutdown",
+                 "request=" + log_value(request.statement_id) + " endpoint=" + log_value(request.endpoint) +
+                     " origin=" + log_value(origin) + " code=" + to_string(refused.code) + " reason=shutdown",
                  true);
     send_peer(state, origin, std::move(refused));
 }
--- a/tests/cli/request_trace.tests.cpp
+++ b/tests/cli/request_trace.tests.cpp
@@ -60,3 +60,17 @@
     CHECK_THAT(trace[1].text, Catch::Contains("waited_ms=600"));
     CHECK_THAT(trace[3].text, Catch::Contains("version=5"));
 }
+
+// Guards against a request's story that holds lines of other requests, because a reason quotes the request's id or database.
+TEST_CASE("fields quoted in a reason are not fields of the line", "[explain][request-story][log-fields]") {
+    const process_log log{
+        "d.log",
+        "t=100 event=request_failed request=77 service=db1 endpoint=i-1 code=failed reason=\"said \\\" request=88 \"\n"
+        "t=110 event=object_unreadable object=x reason=\"no request=77 and database=db1 here\"\n"
+        "t=120 event=leader_adopted database=db1 endpoint=i-2\n"};
+    CHECK(trace_request({log}, "88").empty());
+    const auto trace = trace_request({log}, "77");
+    REQUIRE(trace.size() == 2);
+    CHECK(trace[0].is_request);
+    CHECK_THAT(trace[1].text, Catch::Contains("endpoint=i-2"));
+}
--- a/tests/session_fleet/database_model.cpp
+++ b/tests/session_fleet/database_model.cpp
@@ -145,6 +145,11 @@
         case endpoint_command::execute:
             break;
     }
+    if (!this->error_text.empty()) {
+        auto reply = error_reply(result_code::failed);
+        reply.text = this->error_text;
+        return reply;
+    }
     const bool executes = requested.command == endpoint_command::execute;
     const auto word = fields_of(requested.text, 2).front();
     if (executes && !connection.prepared.contains(requested.name)) {
--- a/tests/session_fleet/database_model.hpp
+++ b/tests/session_fleet/database_model.hpp
@@ -79,6 +79,7 @@
     database_id id;
     std::map<endpoint_id, instance_model> instances;
     std::vector<observed_run> runs;
+    std::string error_text;  ///< If not empty, each statement fails with this text.
 
 private:
     endpoint_reply commit(instance_model& instance, const endpoint_statement& requested, open_transaction ended);
