Escape names on the metrics page of session hosts

A workspace or an endpoint whose name holds a quote, a backslash or a line feed made the page unreadable, or added samples: a workspace named `w"} 1`, LF, `camphorstack_sessions 99` showed a second number of sessions. Names come from the document and from entries of the store, which others write. A byte that is not UTF-8 makes Prometheus refuse the whole page; this held for the latency histograms too.

Cause: the session host wrote names between quotes as they are; only the latency histograms escaped them.

--- a/src/camphorstack/support/metrics.cpp
+++ b/src/camphorstack/support/metrics.cpp
@@ -8,6 +8,8 @@
 #include <tuple>
 #include <utility>
 
+#include "camphorstack/support/metric_label.hpp"
+
 namespace camphorstack {
 
 namespace {
@@ -31,22 +33,6 @@
     std::int64_t sum_us = 0;
 };
 
-/// Escapes a label value as the Prometheus text format requires.
-std::string escape_label(const std::string& text) {
-    std::string result;
-    for (const char character : text) {
-        if (character == '\n') {
-            result += "\\n";
-            continue;
-        }
-        if (character == '\\' || character == '"') {
-            result += '\\';
-        }
-        result += character;
-    }
-    return result;
-}
-
 void render_series(std::ostringstream& out, const std::string& labels, const latency_series& series) {
     const auto& axis = series.buckets.axis();
     std::uint64_t cumulative_count = series.buckets.at(-1);
@@ -99,7 +85,7 @@
         << "# TYPE camphorstack_request_seconds histogram\n";
     for (const auto& [workspace, kinds] : this->impl->latencies) {
         for (const auto& [kind, series] : kinds) {
-            render_series(out, "workspace=\"" + escape_label(workspace) + "\",kind=\"" + to_string(kind) + "\"", series);
+            render_series(out, "workspace=\"" + metric_label(workspace) + "\",kind=\"" + to_string(kind) + "\"", series);
         }
     }
     return out.str();
