Number reports and probes at random from the start of a process

A host counts an answer to its report as proof that its document and its leases were current when it sent the report. Each process numbered its reports from 1. An answer to the host's earlier process that waited for a link (up to 2 s) could meet a later process with an open report of the same number, so evidence looked younger than it was by the time that the answer had waited, and a host could serve by an old document for that much longer. The probes of hosts that run single requests had the same fault. No case has been seen; this was found by reading.

Class: an answer that is matched by a number that is not unique. Calls, runs, tokens and loans already start at a random number.

--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -147,7 +147,7 @@
     instant next_report;
     std::vector<endpoint_id> reported_suspects;           ///< Suspected endpoints in the last report.
     instant last_answered_report;                         ///< When the last report was sent that the coordinator answered.
-    std::uint64_t next_sequence = 1;                      ///< Sequence number of the next report.
+    std::uint64_t next_sequence = 1;                      ///< Of the next report. A host starts at a random number.
     std::map<std::uint64_t, instant> unanswered_reports;  ///< When each report without an answer was sent, by its sequence.
     std::map<host_id, instant> peers_last_heard;          ///< When each peer other than the coordinator last answered a report.
     std::optional<std::uint64_t> takeover_call;           ///< Write of the coordinator record in flight.
--- a/src/camphorstack/hosts/host.cpp
+++ b/src/camphorstack/hosts/host.cpp
@@ -213,6 +213,8 @@
     host->shares.self = settings.self.id;
     host->shares.settings = settings.shares;
     host->shares.next_sequence = host->random() >> 1U;
+    // Starts at a random number, so that answers to an earlier process of this host are not taken for answers to this process.
+    host->membership.next_sequence = host->shares.next_sequence + 1;
     add_members(host->membership, settings.seeds, now);
     // Hosts that start together should know each other before the first member list is written, as each new list changes the
     // shares.
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -311,6 +311,7 @@
     host->shares.next_sequence = host->random() >> 1U;
     // Starts at a random number, so that ids of an earlier process of this host are not mistaken for this process's ids.
     host->next_call = (host->random() >> 16U) + 1;
+    host->coordination.next_sequence = host->next_call;
     host->coordination.settings = settings.coordination;
     host->coordination.last_answered_report = now;
     for (std::size_t i = 0; i < collection_count; ++i) {
--- a/tests/session_fleet/session_fleet.cpp
+++ b/tests/session_fleet/session_fleet.cpp
@@ -19,6 +19,7 @@
 constexpr millis broken_connection_timeout{1000};
 constexpr millis connect_delay{12};
 constexpr millis watch_expiry_interval{50};
+constexpr millis repeat_delay{30};
 
 std::string sha256(const std::string& text) {
     const g_text hash(g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.c_str(), -1));
@@ -37,6 +38,11 @@
     }
 }
 
+bool is_answer(const peer_body& body) {
+    return std::holds_alternative<run_result>(body) || std::holds_alternative<token_grant>(body) ||
+           std::holds_alternative<catalog_reply>(body) || std::holds_alternative<membership_answer>(body);
+}
+
 std::pair<std::string, std::string> ordered(const std::string& a, const std::string& b) {
     return a < b ? std::pair(a, b) : std::pair(b, a);
 }
@@ -498,11 +504,16 @@
         this->deliver_after(delay * 2, host, peer_connected{action.peer});
     }
     const auto process = target->second.process;
-    this->after(delay, [this, host, peer = action.peer, process, message = *received] {
+    const auto deliver = [this, host, peer = action.peer, process, message = *received] {
         if (!this->is_cut(host, peer)) {
             this->deliver(peer, process, message);
         }
-    });
+    };
+    this->after(delay, deliver);
+    if (this->repeats_answers && is_answer(received->body)) {
+        this->after(delay, deliver);
+        this->after(delay + repeat_delay, deliver);
+    }
 }
 
 }  // namespace camphorstack::session_tests
--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -105,7 +105,8 @@
     std::set<endpoint_id> lagging;  ///< Instances that do not replicate.
     std::vector<std::string> log;   ///< Decision log: "TIME HOST KIND TEXT" for each entry.
     bool store_is_down = false;
-    bool cuts_reset = false;  ///< Endpoints behind a cut reset and refuse connections at once, instead of not answering.
+    bool repeats_answers = false;  ///< Answers between hosts arrive again later.
+    bool cuts_reset = false;       ///< Endpoints behind a cut reset and refuse connections at once, instead of not answering.
 
 private:
     struct running_host {
