Answer forwarded requests whose result is too large for a link

A caller of the product's own interface whose request ran at another host, with a result above the frame limit, waited until its deadline. The executing host dropped the reply, since it cannot be encoded.

The host now sends a reply with the outcome `unknown` in place of it, at once.

Test: a reply too large for a link is replaced by one without the result.

--- a/src/camphorstack/hosts/host.cpp
+++ b/src/camphorstack/hosts/host.cpp
@@ -155,6 +155,16 @@
         if (const auto* forward = std::get_if<forward_request>(&event.body)) {
             retry_unsent_request(this->state, event.peer, forward->request.id, this->now, this->actions);
         }
+        const auto* answered = std::get_if<forward_reply>(&event.body);
+        if (answered != nullptr && event.cause == not_sent_cause::too_large) {
+            database_reply replacement;
+            replacement.id = answered->reply.id;
+            replacement.outcome = request_outcome::unknown;
+            replacement.reason = refusal::connection_lost;
+            replacement.body = "the result is too large to be passed on";
+            replacement.served_by = answered->reply.served_by;
+            send_peer(this->state, event.peer, forward_reply{std::move(replacement)}, this->actions);
+        }
     }
     void operator()(const endpoint_connected& event) const {
         receive_endpoint_connected(this->state, event.connection, this->now, this->actions);
