--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -12,6 +12,8 @@
 #include "camphorstack/session_host/session_host_state.hpp"
 #include "camphorstack/session_host/share_members.hpp"
 #include "camphorstack/session_host/shutdown.hpp"
+#include "camphorstack/support/log_value.hpp"
+#include "camphorstack/support/metric_label.hpp"
 
 namespace camphorstack {
 
@@ -83,9 +85,9 @@
     for (const auto& stray : std::exchange(state.executor.stray_answers, {})) {
         ++state.stray_answers[stray.match];
         log_decision(state, "stray_answer",
-                     "endpoint=" + stray.endpoint + " connection=" + std::to_string(stray.connection) +
-                         " match=" + to_string(stray.match) + " awaited=" + to_string(stray.awaited) +
-                         " request=" + (stray.statement_id.empty() ? "-" : stray.statement_id) + " code=" + to_string(stray.code),
+                     "endpoint=" + log_value(stray.endpoint) + " connection=" + std::to_string(stray.connection) +
+                         " match=" + to_string(stray.match) + " awaited=" + to_string(stray.awaited) + " request=" +
+                         (stray.statement_id.empty() ? "-" : log_value(stray.statement_id)) + " code=" + to_string(stray.code),
                      true);
     }
 }
@@ -118,8 +120,8 @@
         ++state.store_calls.answers[answer.status];
     }
     if (!answer.problem.empty()) {
-        log_decision(state, "store_answer_unreadable", "call=" + std::to_string(answer.id) + " reason=\"" + answer.problem + "\"",
-                     true);
+        log_decision(state, "store_answer_unreadable",
+                     "call=" + std::to_string(answer.id) + " reason=" + log_quoted(answer.problem), true);
     }
     for (auto& watch : state.catalog.watches) {
         if (!owns_call(watch, answer.id)) {
@@ -248,7 +250,7 @@
     }
     void operator()(const peer_connected& event) const {
         if (this->state.broken_links.erase(event.peer) != 0) {
-            log_decision(this->state, "peer_regained", "host=" + event.peer);
+            log_decision(this->state, "peer_regained", "host=" + log_value(event.peer));
             update_substitute_owners(this->state);
         }
     }
@@ -259,17 +261,35 @@
         handle_broken_link(this->state, event.peer, this->now);
     }
     void operator()(const peer_not_sent& event) const {
-        this->mark_unreachable(event.peer);
+        if (event.cause == not_sent_cause::too_large) {
+            log_decision(this->state, "message_too_large", "host=" + log_value(event.peer), true);
+            this->replace_oversized_result(event);
+        } else {
+            this->mark_unreachable(event.peer);
+        }
         if (const auto* request = std::get_if<run_request>(&event.body)) {
-            fail_unsent_run(this->state, request->id, this->now);
+            fail_unsent_run(this->state, request->id, event.cause, this->now);
         } else if (const auto* tokens = std::get_if<token_request>(&event.body)) {
             fail_token_request(this->state.shares, event.peer, *tokens, this->now);
             retry_waiting(this->state, this->now);
         }
     }
+    /// Tells the origin of a run whose result is too large for a link that there will be no result.
+    void replace_oversized_result(const peer_not_sent& event) const {
+        if (const auto* result = std::get_if<run_result>(&event.body)) {
+            run_result replacement;
+            replacement.id = result->id;
+            replacement.outcome = run_outcome::lost;
+            replacement.code = result_code::timeout;
+            replacement.text = "the endpoint's answer is too large to be passed on";
+            replacement.wait = result->wait;
+            replacement.transaction_open = result->transaction_open;
+            send_peer(this->state, event.peer, std::move(replacement));
+        }
+    }
     void mark_unreachable(const host_id& peer) const {
         if (this->state.broken_links.try_emplace(peer, this->now).second) {
-            log_decision(this->state, "peer_lost", "host=" + peer, true);
+            log_decision(this->state, "peer_lost", "host=" + log_value(peer), true);
             update_substitute_owners(this->state);
         }
     }
@@ -291,6 +311,7 @@
     host->shares.next_sequence = host->random() >> 1U;
     // Starts at a random number, so that ids of an earlier process of this host are not mistaken for this process's ids.
     host->next_call = (host->random() >> 16U) + 1;
+    host->coordination.next_sequence = host->next_call;
     host->coordination.settings = settings.coordination;
     host->coordination.last_answered_report = now;
     for (std::size_t i = 0; i < collection_count; ++i) {
@@ -331,10 +352,11 @@
     out << "# HELP camphorstack_operations_total Statements answered, by workspace and outcome.\n"
         << "# TYPE camphorstack_operations_total counter\n";
     for (const auto& [workspace, counts] : state.counts) {
-        out << "camphorstack_operations_total{workspace=\"" << workspace << "\",outcome=\"done\"} " << counts.done << '\n';
+        out << "camphorstack_operations_total{workspace=\"" << metric_label(workspace) << "\",outcome=\"done\"} " << counts.done
+            << '\n';
         for (const auto& [code, count] : counts.failed) {
-            out << "camphorstack_operations_total{workspace=\"" << workspace << "\",outcome=\"" << to_string(code) << "\"} "
-                << count << '\n';
+            out << "camphorstack_operations_total{workspace=\"" << metric_label(workspace) << "\",outcome=\"" << to_string(code)
+                << "\"} " << count << '\n';
         }
     }
     out << "# HELP camphorstack_store_calls_total Calls to the store, by collection and operation.\n"
@@ -369,8 +391,9 @@
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
-        out << "camphorstack_endpoint_queue{endpoint=\"" << id << "\"} " << endpoint.queue.size() << '\n'
-            << "camphorstack_endpoint_connections{endpoint=\"" << id << "\"} " << endpoint.connections.size() << '\n';
+        out << "camphorstack_endpoint_queue{endpoint=\"" << metric_label(id) << "\"} " << endpoint.queue.size() << '\n'
+            << "camphorstack_endpoint_connections{endpoint=\"" << metric_label(id) << "\"} " << endpoint.connections.size()
+            << '\n';
     }
     for (const auto& watch : state.catalog.watches) {
         const auto age = evidence_age(state, watch.collection_id, now);
--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -109,6 +109,7 @@
     int repeated_answers_percent = 0;
     millis longest_repetition{300};
     int refused_statements_percent = 0;  ///< Share of statements outside of transactions that instances refuse as busy.
+    bool repeats_answers = false;        ///< Answers between hosts arrive again later.
     bool cuts_reset = false;  ///< Endpoints behind a cut reset and refuse connections at once, instead of not answering.
 
 private:
