Read names and keys of the store whole behind a NUL, and drop only the part with a lone surrogate

A document in which one name ended with a lone surrogate was not read at all; elsewhere the text behind it was lost.

Cause: json-glib holds strings as C strings, so a value and a field's name ended at an escaped NUL, and its scanner drops what follows a lone surrogate. The hash of a key and the escaped path of an object ended at a NUL as well.

- Such characters are held as a mark and their code while json-glib has them (json_strings) and become escapes again in text that it writes, so that relayed objects and fleet records keep them too.
- A string with a lone surrogate is no text: the tenant, service or route with it is left out and named in the log, the rest takes effect.
An object whose name is such a string is left out of a list or a watch.
- Escapes that JSON does not have are an error. json-glib read "\000" as the end of a string.

--- a/src/camphorstack/catalog/fleet_record.cpp
+++ b/src/camphorstack/catalog/fleet_record.cpp
@@ -103,12 +103,11 @@
         record.unreachable.push_back({required_text(host, "id"), required_number(host, "absence")});
     }
     for (guint i = 0; i < json_array_get_length(leaving); ++i) {
-        JsonNode* node = json_array_get_element(leaving, i);
-        const char* text = JSON_NODE_HOLDS_VALUE(node) ? json_node_get_string(node) : nullptr;
-        if (text == nullptr) {
+        auto text = string_value(json_array_get_element(leaving, i));
+        if (!text) {
             throw format_error("fleet record: the elements of \"leaving\" must be strings");
         }
-        record.leaving.emplace_back(text);
+        record.leaving.push_back(std::move(*text));
     }
     record.last_unreachable_interval = required_number(root, "absences");
     return record;
--- a/src/camphorstack/document/json_tree.cpp
+++ b/src/camphorstack/document/json_tree.cpp
@@ -9,6 +9,7 @@
 
 #include "camphorstack/document/json_values.hpp"
 #include "camphorstack/support/g_pointer.hpp"
+#include "camphorstack/support/json_strings.hpp"
 
 namespace camphorstack {
 
@@ -23,6 +24,18 @@
            std::string_view{"+-.,:{}[]"}.find(c) != std::string_view::npos;
 }
 
+/// Returns true if a string has an escape that JSON does not know. json-glib reads such a one as another character, an octal zero
+/// as the end of the string.
+bool has_unknown_escape(std::string_view quoted) {
+    constexpr std::string_view known = "\"\\/bfnrtu";
+    for (auto i = quoted.find('\\'); i != std::string_view::npos && i + 1 < quoted.size(); i = quoted.find('\\', i + 2)) {
+        if (known.find(quoted[i + 1]) == std::string_view::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Returns an error text if `text` uses extensions that json-glib accepts but JSON does not (comments, single quotes), or if
 /// values are nested too deeply. Returns an empty string if `text` can be parsed.
 std::string find_unsupported_syntax(const std::string& text) {
@@ -30,7 +43,11 @@
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char c = text[i];
         if (c == '"') {
-            i = end_of_json_string(text, i);
+            const auto end = end_of_json_string(text, i);
+            if (has_unknown_escape(std::string_view(text).substr(i, end - i))) {
+                return "not valid JSON: unknown escape in a string";
+            }
+            i = end;
         } else if (!is_allowed_outside_strings(c)) {
             return "not valid JSON: unexpected character outside of a string";
         } else if (c == '{' || c == '[') {
@@ -122,7 +139,7 @@
     json_generator_set_indent(generator.get(), 2);
     gsize length = 0;
     const g_text text{json_generator_to_data(generator.get(), &length)};
-    return repair_exponents({text.get(), length});
+    return restore_json_escapes(repair_exponents({text.get(), length}));
 }
 
 JsonNode* member_of_kind(JsonObject* parent, const char* name, JsonNodeType kind) {
@@ -181,8 +198,10 @@
     g_signal_connect(parser.get(), "object-member", G_CALLBACK(&parse_observer::on_object_member), &observed);
     g_signal_connect(parser.get(), "object-end", G_CALLBACK(&parse_observer::on_object_end), &observed);
     GError* failure = nullptr;
-    const auto marked = mark_large_numbers(text);
-    const auto& parsed = marked.empty() ? text : marked;
+    auto parsed = mark_json_escapes(text);
+    if (auto marked = mark_large_numbers(parsed); !marked.empty()) {
+        parsed = std::move(marked);
+    }
     if (json_parser_load_from_data(parser.get(), parsed.data(), static_cast<gssize>(parsed.size()), &failure) == FALSE) {
         const g_error_pointer reason{failure};
         this->found_errors.push_back(syntax_error(reason ? reason->message : "unknown error"));
@@ -223,8 +242,12 @@
 }
 
 std::optional<std::string> string_member(JsonObject* parent, const char* name) {
-    JsonNode* node = member_of_type(parent, name, G_TYPE_STRING);
-    return node == nullptr ? std::nullopt : std::optional<std::string>{json_node_get_string(node)};
+    return string_value(member_of_kind(parent, name, JSON_NODE_VALUE));
+}
+
+std::optional<std::string> string_value(JsonNode* node) {
+    const bool is_string = node != nullptr && JSON_NODE_HOLDS_VALUE(node) && json_node_get_value_type(node) == G_TYPE_STRING;
+    return is_string ? unmark_json_string(json_node_get_string(node)) : std::nullopt;
 }
 
 std::optional<std::int64_t> integer_member(JsonObject* parent, const char* name) {
--- a/src/camphorstack/document/json_tree.hpp
+++ b/src/camphorstack/document/json_tree.hpp
@@ -53,9 +53,12 @@
 /// Returns the member if it is an array, else null.
 [[nodiscard]] JsonArray* array_member(JsonObject* parent, const char* name);
 
-/// Returns the member if it is a string, else nullopt.
+/// Returns the member if it is a string, else nullopt. A string with a lone surrogate counts as none.
 [[nodiscard]] std::optional<std::string> string_member(JsonObject* parent, const char* name);
 
+/// Returns the node's text if it is a string, else nullopt, like `string_member`. Also for a null `node`.
+[[nodiscard]] std::optional<std::string> string_value(JsonNode* node);
+
 /// Returns the member if it is an integer, else nullopt.
 [[nodiscard]] std::optional<std::int64_t> integer_member(JsonObject* parent, const char* name);
 
--- a/src/camphorstack/support/json.cpp
+++ b/src/camphorstack/support/json.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "camphorstack/support/json_strings.hpp"
+
 namespace camphorstack {
 
 json_writer::json_writer() : builder(g_adopt(json_builder_new())) {}
@@ -33,7 +35,8 @@
 }
 
 json_writer& json_writer::value(const std::string& text) {
-    const g_text valid(g_utf8_make_valid(text.data(), static_cast<gssize>(text.size())));
+    const auto marked = mark_json_string(text);
+    const g_text valid(g_utf8_make_valid(marked.data(), static_cast<gssize>(marked.size())));
     json_builder_add_string_value(this->builder.get(), valid.get());
     return *this;
 }
@@ -61,7 +64,7 @@
 std::string json_writer::text() const {
     const json_node_pointer root(json_builder_get_root(this->builder.get()));
     const g_text text(json_to_string(root.get(), FALSE));
-    return text.get();
+    return restore_json_escapes(text.get());
 }
 
 }  // namespace camphorstack
--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -142,3 +142,21 @@
     CHECK(rejected > mutations / 4);
     CHECK(rejected < mutations);
 }
+
+TEST_CASE("a peer message carries names and texts with any bytes whole", "[peer-codec][odd-names]") {
+    for (const auto& text : {std::string("a\0b", 3), std::string("\0", 1), std::string("a\r\nb"), std::string("\n"),
+                             std::string(" a "), std::string("\xff\xc3\x01\x7f")}) {
+        const peer_message relayed{
+            "a", catalog_reply{4, collection::endpoints, {true, {{text, 77, text}}, {text}}, 80, 77, millis{3}}};
+        CHECK(decode(encode(relayed)) == relayed);
+        const peer_message leader{"a", leader_update{{text, text, leader_phase::changing, true, 5}, 88}};
+        CHECK(decode(encode(leader)) == leader);
+        run_request request;
+        request.endpoint = request.workspace = request.statement_id = request.text = text;
+        request.values = {{text, text}};
+        const peer_message forwarded{"a", request};
+        CHECK(decode(encode(forwarded)) == forwarded);
+        const peer_message loan{"a", loan_request{1, text, 6, 5000, 2500, millis{500}}};
+        CHECK(decode(encode(loan)) == loan);
+    }
+}
--- a/tests/platform/object_store.cpp
+++ b/tests/platform/object_store.cpp
@@ -23,6 +23,23 @@
 
 }  // namespace
 
+std::string quoted(const std::string& text) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned char first_other = 0x80;
+    std::string result = "\"";
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte < first_other) {
+            result += "\\u00";
+            result += digits[byte / digits.size()];
+            result += digits[byte % digits.size()];
+        } else {
+            result += c;
+        }
+    }
+    return result + '"';
+}
+
 object_store::object_store() : server(g_adopt(soup_server_new(nullptr, nullptr))) {
     soup_server_add_handler(this->server.get(), nullptr, &object_store::handle, this, nullptr);
     const auto local = parse_socket_address("127.0.0.1:0");
@@ -159,8 +176,8 @@
 }
 
 std::string object_store::object_text(const std::string& name, const object& item) const {
-    return R"({"meta":{"Name":")" + name + R"(","Revision":)" + std::to_string(item.revision) + R"(},"spec":)" + item.content +
-           R"(,"status":null})";
+    return R"({"meta":{"Name":)" + quoted(name) + R"(,"Revision":)" + std::to_string(item.revision) + R"(},"spec":)" +
+           item.content + R"(,"status":null})";
 }
 
 }  // namespace camphorstack::platform_tests
--- a/tests/platform/object_store.hpp
+++ b/tests/platform/object_store.hpp
@@ -11,6 +11,9 @@
 
 namespace camphorstack::platform_tests {
 
+/// Returns the text as a JSON string. All ASCII characters become escapes; the product's own writer is not used.
+[[nodiscard]] std::string quoted(const std::string& text);
+
 /// HTTP stand-in for the platform's store and its promotion call, on loopback. A watch is answered as soon as the store holds
 /// something newer than the watch's revision.
 class object_store {
--- a/tests/platform/store_json.tests.cpp
+++ b/tests/platform/store_json.tests.cpp
@@ -388,3 +388,63 @@
         CHECK(usable == 0);
     }
 }
+
+// Guards against a key that stands for a shorter one, or a field for another, because a string ends at a NUL or a lone surrogate.
+TEST_CASE("a NUL is a part of names and keys", "[platform][store-json][odd-names]") {
+    const auto item = read_document_with(
+        R"("Tenants":[{"Name":"a\u0000b","ApiKeys":["abc\u0000x"],"ApiKeys\u0000":["other"]},{"Name":"a","ApiKeys":["abc"]}],)"
+        R"("Services":[{"Name":"db\u0000","MaxConnections":7}])");
+    CHECK(item.problems.empty());
+    const auto& read = document_of(item);
+    REQUIRE(read.workspaces.size() == 2);
+    CHECK(read.workspaces[0].id == std::string("a\0b", 3));
+    REQUIRE(read.workspaces[0].keys.size() == 1);
+    CHECK(read.workspaces[0].keys[0].sha256 != read.workspaces[1].keys.at(0).sha256);
+    CHECK(read.databases.at(0).id == std::string("db\0", 3));
+
+    const auto answer = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200,
+                                          list(object("i\\u0000", 3, endpoint_spec) + "," + object("i", 4, endpoint_spec)));
+    REQUIRE(answer.items.size() == 2);
+    CHECK(answer.items[0].name == std::string("i\0", 2));
+    CHECK(answer.items[1].name == "i");
+    auto decode = call_of(collection::endpoints, catalog_operation::decode);
+    decode.sources = {answer.items[0].source, answer.items[1].source};
+    CHECK(decode_objects(decode).items == answer.items);
+
+    auto write = call_of(collection::fleet, catalog_operation::replace);
+    write.name = std::string("leader-db\0", 10);
+    write.text = R"({"database":"db\u0000"})";
+    CHECK(store_path(write) == "/camphorstack/objects/fleet/leader-db%00");
+    const auto written = read_store_answer(write, 200, store_body(write));
+    CHECK(written.items.at(0).name == write.name);
+    CHECK(std::get<fleet_item>(written.items.at(0).content).text == write.text);
+}
+
+// Guards against a document that is refused as a whole, or a key that is cut, because of one name that is no text.
+TEST_CASE("a lone surrogate leaves out only the part that it is in", "[platform][store-json][odd-names]") {
+    for (const std::string name :
+         {R"(\ud83dx)", R"(x\udc00)", R"(\ud800)", R"(\udcff\udcfe)", R"(\ud83d\u0041)", R"(\\\ud800)"}) {
+        CAPTURE(name);
+        const auto item =
+            read_document_with(R"("Tenants":[{"Name":")" + name + R"(","ApiKeys":["k"]},{"Name":"keys","ApiKeys":[")" + name +
+                               R"("]},{"Name":"good","ApiKeys":["k"]}],"Note":")" + name + "\"");
+        CHECK(item.problems.size() == 2);
+        const auto& read = document_of(item);
+        REQUIRE(read.workspaces.size() == 1);
+        CHECK(read.workspaces[0].id == "good");
+        CHECK(read.routes.size() == 1);
+        auto decode = call_of(collection::document, catalog_operation::decode);
+        decode.sources = {item.source};
+        const auto decoded = decode_objects(decode).items.at(0);
+        CHECK((decoded.source == item.source && decoded.problems == item.problems));
+        CHECK(document_of(decoded) == read);
+
+        const auto answer = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200,
+                                              list(object(name, 3, endpoint_spec) + "," + object("i", 4, endpoint_spec)));
+        REQUIRE(answer.items.size() == 1);
+        CHECK(answer.items[0].name == "i");
+        CHECK_FALSE(answer.problem.empty());
+    }
+    const auto paired = read_document_with(R"("Tenants":[{"Name":"\ud83d\ude00\\u0000","ApiKeys":["k"]}])");
+    CHECK(document_of(paired).workspaces.at(0).id == "😀\\u0000");
+}
