Serve services, instances and tenants with odd names, and leave out those that no message can carry

A tenant whose name holds a blank or a line end was let in, and each connection for it to an instance started with a START whose fields were shifted, or with a second message of the operator's making.

Cause: names went into START unchecked for tenants, while for instances every control character was refused in place of the two that matter: the blank between fields and CR LF.

- A tenant or a service whose name holds a blank or CR LF is left out of the document and named in the log, so a key of such a tenant is not known.
A route to such a service stays: its database exists, but has no instance.
- An entry of an instance names none if its service holds a blank or CR LF, or its id holds CR LF.
The id is the last field, so it may hold blanks.
- All other names are served, also with a lone LF or CR, a NUL or bytes above 0x7f.
Zones are not sent, so any that is not empty is read.

--- a/tests/platform/odd_names.tests.cpp
+++ b/tests/platform/odd_names.tests.cpp
@@ -54,6 +54,12 @@
            workspace("plain", "plain-key") + "," + workspace(odd.workspace, odd.key) + "]}";
 }
 
+std::string endpoint_text(const std::string& service, const std::string& address, const std::string& role) {
+    return R"({"Service":)" + quoted(service) + R"(,"Address":")" + address +
+           R"(","Zone":"amman-a","Version":"v1","Slots":2,"State":"ready","ColdRemainingMs":0,"Sequence":1,"DatabaseRole":")" +
+           role + R"("})";
+}
+
 void publish(platform_fixture& system, const names& odd) {
     system.version += 1;
     system.store.put("config", "main", document_with(odd, system.version));
@@ -74,6 +80,16 @@
     return caller.wait_for("DONE proof-" + id + "\r\n", 2000);
 }
 
+bool has_received(const wire_instance& instance, const std::string& message) {
+    return std::ranges::count(instance.lines, message) > 0;
+}
+
+bool are_messages(const wire_instance& instance) {
+    return std::ranges::all_of(instance.lines, [](const std::string& line) {
+        return line.starts_with("START ") || line.starts_with("QUERY ") || line == "BYE";
+    });
+}
+
 }  // namespace
 
 TEST_CASE("a key in the document is compared whole and stands for no shorter key", "[platform][odd-names]") {
@@ -88,6 +104,32 @@
     }
 }
 
+TEST_CASE("a workspace with an odd name is served and named whole to the instance", "[platform][odd-names]") {
+    platform_fixture system;
+    int number = 0;
+    for (const auto& name : odd_names()) {
+        CAPTURE(name);
+        publish(system, {.workspace = name});
+        CHECK(is_served(system, "books", "first-key", "q" + std::to_string(++number)));
+        CHECK(has_received(system.primary, "START db " + name + " db-0"));
+    }
+    CHECK(are_messages(system.primary));
+}
+
+TEST_CASE("a workspace whose name no message can carry is left out and the others are served", "[platform][odd-names]") {
+    platform_fixture system;
+    int number = 0;
+    for (const std::string name : {"a b", " ", "a\r\nb", "x db-0\r\nQUERY q WRITE item 1", "\r\n"}) {
+        CAPTURE(name);
+        publish(system, {.workspace = name});
+        CHECK(start_answer(system, "books", "first-key") == "ERROR NOAUTH");
+        CHECK(is_served(system, "books", "plain-key", "q" + std::to_string(++number)));
+    }
+    CHECK(are_messages(system.primary));
+    CHECK(are_messages(system.replica));
+    CHECK_FALSE(std::ranges::any_of(system.primary.lines, [](const auto& line) { return line.starts_with("START db  "); }));
+}
+
 TEST_CASE("a database is found by its whole odd name", "[platform][odd-names]") {
     platform_fixture system;
     int number = 0;
@@ -99,6 +141,42 @@
     }
 }
 
+TEST_CASE("a service and its instances with odd names are served", "[platform][odd-names]") {
+    for (const auto& name : odd_names()) {
+        CAPTURE(name);
+        platform_fixture system;
+        session_tests::database_model model{"db" + name, {"amman-a", "amman-a"}};
+        wire_instance primary(system.sockets, model, "db" + name + "-0");
+        wire_instance replica(system.sockets, model, "db" + name + "-1");
+        system.store.put("servers", "db" + name + "-0", endpoint_text("db" + name, primary.address(), "primary"));
+        system.store.put("servers", "db" + name + "-1", endpoint_text("db" + name, replica.address(), "replica"));
+        publish(system, {.service = "db" + name});
+        run_for(millis{500});
+        CHECK(is_served(system, "books", "first-key", "q1"));
+        CHECK(is_served(system, "plain", "plain-key", "q2"));
+        CHECK(has_received(primary, "START db" + name + " counters db" + name + "-0"));
+        CHECK(are_messages(primary));
+    }
+}
+
+TEST_CASE("a service or an instance whose name no message can carry is left out", "[platform][odd-names]") {
+    platform_fixture system;
+    const std::string line = "\r\nQUERY q WRITE item 1";
+    wire_instance& reused = system.replica;
+    for (const auto& service : {std::string("d b"), "db" + line}) {
+        CAPTURE(service);
+        system.store.put("servers", "i-odd", endpoint_text(service, reused.address(), "primary"));
+        publish(system, {.service = service});
+        CHECK_FALSE(is_served(system, "books", "first-key", "q-odd"));
+        CHECK(is_served(system, "plain", "plain-key", "q-" + std::to_string(service.size())));
+    }
+    system.store.put("servers", "i" + line, endpoint_text("db", reused.address(), "replica"));
+    run_for(millis{500});
+    CHECK(is_served(system, "plain", "plain-key", "q-last"));
+    CHECK(are_messages(system.primary));
+    CHECK(are_messages(reused));
+}
+
 TEST_CASE("a name with any characters reaches the store whole in the path and the body", "[platform][odd-names]") {
     fd_watcher sockets;
     raw_http_server server(sockets);
--- a/tests/platform/store_json.tests.cpp
+++ b/tests/platform/store_json.tests.cpp
@@ -448,3 +448,39 @@
     const auto paired = read_document_with(R"("Tenants":[{"Name":"\ud83d\ude00\\u0000","ApiKeys":["k"]}])");
     CHECK(document_of(paired).workspaces.at(0).id == "😀\\u0000");
 }
+
+TEST_CASE("a name that the protocol cannot carry leaves out only the part that it is in", "[platform][store-json][odd-names]") {
+    for (const std::string name : {"a b", " ", "a\\r\\nb", "\\r\\n"}) {
+        CAPTURE(name);
+        const auto item =
+            read_document_with(R"("Tenants":[{"Name":")" + name + R"(","ApiKeys":["k"]},{"Name":"good","ApiKeys":["k"]}],)" +
+                               R"("Services":[{"Name":")" + name + R"("},{"Name":"good"}])");
+        REQUIRE(item.problems.size() == 2);
+        CHECK(item.problems[0].starts_with("Services[0]: "));
+        CHECK(item.problems[1].starts_with("Tenants[0]: "));
+        CHECK(document_of(item).workspaces.size() == 1);
+        CHECK(document_of(item).databases.size() == 1);
+        CHECK(std::holds_alternative<unreadable_item>(
+            content_of(collection::endpoints, endpoint_with("Service", "\"" + name + "\""))));
+    }
+    for (const std::string name : {"a\\nb", "a\\rb", "a\\r", "\\n", "\\u0001\\u007f", "\u00e9"}) {
+        CAPTURE(name);
+        const auto item = read_document_with(R"("Tenants":[{"Name":")" + name + R"(","ApiKeys":["k"]}],"Services":[{"Name":")" +
+                                             name + R"("}])");
+        CHECK(item.problems.empty());
+        CHECK(document_of(item).workspaces.size() == 1);
+        CHECK(document_of(item).databases.size() == 1);
+        for (const auto* field : {"Service", "Zone"}) {
+            CHECK(std::holds_alternative<endpoint_entry>(
+                content_of(collection::endpoints, endpoint_with(field, "\"" + name + "\""))));
+        }
+        const auto answer = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200,
+                                              list(object(name, 3, endpoint_spec) + "," + object("i b", 4, endpoint_spec) + "," +
+                                                   object("i\\r\\n", 5, endpoint_spec)));
+        REQUIRE(answer.items.size() == 3);
+        // The id is the last field of its message, so it may hold blanks.
+        CHECK(std::holds_alternative<endpoint_entry>(answer.items[0].content));
+        CHECK(std::holds_alternative<endpoint_entry>(answer.items[1].content));
+        CHECK(std::holds_alternative<unreadable_item>(answer.items[2].content));
+    }
+}
