Escape the names of endpoints and workspaces in the metrics

Only the latency histograms escaped their labels. The same function now serves the two other places.

--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -12,6 +12,7 @@
 #include "camphorstack/session_host/session_host_state.hpp"
 #include "camphorstack/session_host/share_members.hpp"
 #include "camphorstack/session_host/shutdown.hpp"
+#include "camphorstack/support/metrics.hpp"
 
 namespace camphorstack {
 
@@ -331,10 +332,11 @@
     out << "# HELP camphorstack_operations_total Statements answered, by workspace and outcome.\n"
         << "# TYPE camphorstack_operations_total counter\n";
     for (const auto& [workspace, counts] : state.counts) {
-        out << "camphorstack_operations_total{workspace=\"" << workspace << "\",outcome=\"done\"} " << counts.done << '\n';
+        const auto label = escape_label(workspace);
+        out << "camphorstack_operations_total{workspace=\"" << label << "\",outcome=\"done\"} " << counts.done << '\n';
         for (const auto& [code, count] : counts.failed) {
-            out << "camphorstack_operations_total{workspace=\"" << workspace << "\",outcome=\"" << to_string(code) << "\"} "
-                << count << '\n';
+            out << "camphorstack_operations_total{workspace=\"" << label << "\",outcome=\"" << to_string(code) << "\"} " << count
+                << '\n';
         }
     }
     out << "# HELP camphorstack_store_calls_total Calls to the store, by collection and operation.\n"
@@ -369,8 +371,9 @@
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
-        out << "camphorstack_endpoint_queue{endpoint=\"" << id << "\"} " << endpoint.queue.size() << '\n'
-            << "camphorstack_endpoint_connections{endpoint=\"" << id << "\"} " << endpoint.connections.size() << '\n';
+        const auto label = escape_label(id);
+        out << "camphorstack_endpoint_queue{endpoint=\"" << label << "\"} " << endpoint.queue.size() << '\n'
+            << "camphorstack_endpoint_connections{endpoint=\"" << label << "\"} " << endpoint.connections.size() << '\n';
     }
     for (const auto& watch : state.catalog.watches) {
         const auto age = evidence_age(state, watch.collection_id, now);
--- a/src/camphorstack/support/metrics.cpp
+++ b/src/camphorstack/support/metrics.cpp
@@ -31,22 +31,6 @@
     std::int64_t sum_us = 0;
 };
 
-/// Escapes a label value as the Prometheus text format requires.
-std::string escape_label(const std::string& text) {
-    std::string result;
-    for (const char character : text) {
-        if (character == '\n') {
-            result += "\\n";
-            continue;
-        }
-        if (character == '\\' || character == '"') {
-            result += '\\';
-        }
-        result += character;
-    }
-    return result;
-}
-
 void render_series(std::ostringstream& out, const std::string& labels, const latency_series& series) {
     const auto& axis = series.buckets.axis();
     std::uint64_t cumulative_count = series.buckets.at(-1);
@@ -68,6 +52,21 @@
 
 }  // namespace
 
+std::string escape_label(const std::string& text) {
+    std::string result;
+    for (const char character : text) {
+        if (character == '\n') {
+            result += "\\n";
+            continue;
+        }
+        if (character == '\\' || character == '"') {
+            result += '\\';
+        }
+        result += character;
+    }
+    return result;
+}
+
 struct request_metrics::state {
     std::map<workspace_id, std::map<request_kind, latency_series>> latencies;
     std::map<std::tuple<request_kind, request_outcome, refusal>, std::uint64_t> counts;
--- a/src/camphorstack/support/metrics.hpp
+++ b/src/camphorstack/support/metrics.hpp
@@ -9,6 +9,9 @@
 
 namespace camphorstack {
 
+/// Escapes a label's value as the Prometheus text format requires.
+[[nodiscard]] std::string escape_label(const std::string& text);
+
 /// One answered request with the outcome and latency that the caller observed.
 struct request_sample {
     workspace_id workspace;  ///< Empty if the key is not known.
--- a/tests/platform/odd_names.tests.cpp
+++ b/tests/platform/odd_names.tests.cpp
@@ -177,6 +177,18 @@
     CHECK(are_messages(reused));
 }
 
+TEST_CASE("an odd name starts no line of its own in the metrics", "[platform][odd-names]") {
+    platform_fixture system;
+    system.store.put("servers", "i\"\\", endpoint_text("db", system.replica.address(), "replica"));
+    publish(system, {.workspace = "a\n\"b"});
+    REQUIRE(is_served(system, "books", "first-key", "q1"));
+    CHECK(run_until([&] {
+        return system.monitoring.metrics().find("camphorstack_endpoint_queue{endpoint=\"i\\\"\\\\\"} ") != std::string::npos;
+    }));
+    CHECK(system.monitoring.metrics().find("workspace=\"a\\n\\\"b\",") != std::string::npos);
+    CHECK(system.monitoring.metrics().find("\n\"") == std::string::npos);
+}
+
 TEST_CASE("a name with any characters reaches the store whole in the path and the body", "[platform][odd-names]") {
     fd_watcher sockets;
     raw_http_server server(sockets);
