Do not read a cut answer of the store as a shorter list

Cause: an answer that cannot be parsed is read again object by object, so that one odd object does not hide the others, and that reader took a bracket within the last object for the end of the list. It needs an answer whose length is not given, as HTTP notices the others, and the store's revision before the items, or an odd object.

--- a/src/camphorstack/document/json_values.cpp
+++ b/src/camphorstack/document/json_values.cpp
@@ -66,6 +66,24 @@
     return text.size();
 }
 
+bool is_cut_json(std::string_view text) {
+    std::size_t depth = 0;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (c == '"') {
+            i = end_of_json_string(text, i);
+            if (i == text.size()) {
+                return true;
+            }
+        } else if (c == '{' || c == '[') {
+            ++depth;
+        } else if ((c == '}' || c == ']') && depth > 0) {
+            --depth;
+        }
+    }
+    return depth > 0;
+}
+
 std::vector<json_member_text> split_json_object(std::string_view text) {
     std::vector<json_member_text> members;
     const auto content = content_of(text, '{', '}');
--- a/src/camphorstack/document/json_values.hpp
+++ b/src/camphorstack/document/json_values.hpp
@@ -18,6 +18,9 @@
 /// end.
 [[nodiscard]] std::size_t end_of_json_string(std::string_view text, std::size_t start);
 
+/// Returns true if the text ends within a string, an object or an array.
+[[nodiscard]] bool is_cut_json(std::string_view text);
+
 /// Splits the text of a JSON object into its members. Needs only the brackets and quotes to match, so that a value that cannot be
 /// parsed does not hide the others. Returns nothing for text that is not an object. The results refer to `text`.
 [[nodiscard]] std::vector<json_member_text> split_json_object(std::string_view text);
--- a/tests/platform/store_json.tests.cpp
+++ b/tests/platform/store_json.tests.cpp
@@ -484,3 +484,22 @@
         CHECK(std::holds_alternative<unreadable_item>(answer.items[2].content));
     }
 }
+
+// Guards against a cut answer that counts as a list or a watch with fewer objects.
+TEST_CASE("an answer that is cut anywhere is not read", "[platform][store-json]") {
+    const auto items = object("i-1", 3, endpoint_spec) + "," + object("i-2", 4, R"({"a":"\ud800"})");
+    const std::vector<std::pair<catalog_operation, std::string>> bodies{
+        {catalog_operation::list, list(items)},
+        {catalog_operation::list, R"({"StoreRevision":530,"HasMore":false,"items":[)" + items + "]}"},
+        {catalog_operation::watch, R"({"StoreRevision":530,"events":[{"Removed":false,"Object":)" +
+                                       object("i-1", 531, endpoint_spec) + R"(},{"Object":)" + object("i-2", 532, "{}") +
+                                       R"(,"Removed":true}]})"}};
+    for (const auto& [operation, body] : bodies) {
+        CHECK(read_store_answer(call_of(collection::endpoints, operation), 200, body).revision == 530);
+        for (std::size_t size = 0; size < body.size(); ++size) {
+            CAPTURE(body.substr(0, size));
+            CHECK_THROWS_AS(read_store_answer(call_of(collection::endpoints, operation), 200, body.substr(0, size)),
+                            format_error);
+        }
+    }
+}
