Test that repeated or late relayed answers and odd host names change nothing

A relayed answer carries the number of its request, so a copy or one after the time limit is dropped. A host's name becomes a header of promotion calls, and the settings refuse one with a line end, a NUL or a blank.

--- a/tests/session_fleet/catalog_relay.tests.cpp
+++ b/tests/session_fleet/catalog_relay.tests.cpp
@@ -199,3 +199,35 @@
     CHECK(host.kept_requests.empty());
     CHECK(host.catalog.endpoints.size() == 9);
 }
+
+TEST_CASE("a relayed answer that comes twice or after its time limit changes nothing", "[session-fleet][catalog-relay]") {
+    session_fleet fleet(fleet_of(7));
+    fleet.run_for(start_time);
+    auto& host = fleet.host("host-3");
+    auto& watch = watch_of(host, collection::endpoints);
+    REQUIRE(request_change(host, collection::endpoints, watch.last_change + 1, {}, fleet.now()));
+    const auto first = watch.requested->sequence;
+    host.actions.clear();
+    // After the time limit another request is open, with the same content but another number.
+    catalog_relay_tick(host, fleet.now() + millis{600});
+    REQUIRE_FALSE(watch.requested);
+    watch.list_wanted = false;
+    REQUIRE(request_change(host, collection::endpoints, watch.last_change + 1, {}, fleet.now()));
+    const auto second = watch.requested->sequence;
+    host.actions.clear();
+    const auto reply_to = [&](std::uint64_t sequence) {
+        const auto revision = watch.last_change + 1;
+        receive_catalog_reply(host, {sequence, collection::endpoints, {false, {}, {}}, revision, revision, millis{0}},
+                              fleet.now());
+    };
+    reply_to(first);
+    CHECK((host.actions.empty() && watch.requested));
+    reply_to(second);
+    CHECK(host.actions.size() == 1);
+    CHECK((watch.decoding && !watch.requested));
+    const auto decoding = watch.decoding->call;
+    reply_to(second);
+    reply_to(first);
+    CHECK(host.actions.size() == 1);
+    CHECK(watch.decoding->call == decoding);
+}
--- a/tests/settings/parse_session_settings.tests.cpp
+++ b/tests/settings/parse_session_settings.tests.cpp
@@ -70,3 +70,11 @@
     CHECK_FALSE(errors_of("- a\n").empty());
     CHECK(errors_of(complete_settings + "id: twice\n").find("id") != std::string::npos);
 }
+
+// Guards against a host name that starts another header of the promotion calls, which carry it.
+TEST_CASE("a host name with a line end or a NUL is refused", "[settings][session-settings][odd-names]") {
+    for (const auto* id : {R"("front-1\r\nFencing-Token: 9")", R"("front-1\n")", R"("front-1\0")", R"("front 1")"}) {
+        CAPTURE(id);
+        CHECK(errors_of("id: " + std::string(id) + "\n" + without("id")).starts_with("f.yaml:1: id"));
+    }
+}
