--- a/tests/platform/store_json.tests.cpp
+++ b/tests/platform/store_json.tests.cpp
@@ -388,3 +388,118 @@
         CHECK(usable == 0);
     }
 }
+
+// Guards against a key that stands for a shorter one, or a field for another, because a string ends at a NUL or a lone surrogate.
+TEST_CASE("a NUL is a part of names and keys", "[platform][store-json][odd-names]") {
+    const auto item = read_document_with(
+        R"("Tenants":[{"Name":"a\u0000b","ApiKeys":["abc\u0000x"],"ApiKeys\u0000":["other"]},{"Name":"a","ApiKeys":["abc"]}],)"
+        R"("Services":[{"Name":"db\u0000","MaxConnections":7}])");
+    CHECK(item.problems.empty());
+    const auto& read = document_of(item);
+    REQUIRE(read.workspaces.size() == 2);
+    CHECK(read.workspaces[0].id == std::string("a\0b", 3));
+    REQUIRE(read.workspaces[0].keys.size() == 1);
+    CHECK(read.workspaces[0].keys[0].sha256 != read.workspaces[1].keys.at(0).sha256);
+    CHECK(read.databases.at(0).id == std::string("db\0", 3));
+
+    const auto answer = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200,
+                                          list(object("i\\u0000", 3, endpoint_spec) + "," + object("i", 4, endpoint_spec)));
+    REQUIRE(answer.items.size() == 2);
+    CHECK(answer.items[0].name == std::string("i\0", 2));
+    CHECK(answer.items[1].name == "i");
+    auto decode = call_of(collection::endpoints, catalog_operation::decode);
+    decode.sources = {answer.items[0].source, answer.items[1].source};
+    CHECK(decode_objects(decode).items == answer.items);
+
+    auto write = call_of(collection::fleet, catalog_operation::replace);
+    write.name = std::string("leader-db\0", 10);
+    write.text = R"({"database":"db\u0000"})";
+    CHECK(store_path(write) == "/camphorstack/objects/fleet/leader-db%00");
+    const auto written = read_store_answer(write, 200, store_body(write));
+    CHECK(written.items.at(0).name == write.name);
+    CHECK(std::get<fleet_item>(written.items.at(0).content).text == write.text);
+}
+
+// Guards against a document that is refused as a whole, or a key that is cut, because of one name that is no text.
+TEST_CASE("a lone surrogate leaves out only the part that it is in", "[platform][store-json][odd-names]") {
+    for (const std::string name :
+         {R"(\ud83dx)", R"(x\udc00)", R"(\ud800)", R"(\udcff\udcfe)", R"(\ud83d\u0041)", R"(\\\ud800)"}) {
+        CAPTURE(name);
+        const auto item =
+            read_document_with(R"("Tenants":[{"Name":")" + name + R"(","ApiKeys":["k"]},{"Name":"keys","ApiKeys":[")" + name +
+                               R"("]},{"Name":"good","ApiKeys":["k"]}],"Note":")" + name + "\"");
+        CHECK(item.problems.size() == 2);
+        const auto& read = document_of(item);
+        REQUIRE(read.workspaces.size() == 1);
+        CHECK(read.workspaces[0].id == "good");
+        CHECK(read.routes.size() == 1);
+        auto decode = call_of(collection::document, catalog_operation::decode);
+        decode.sources = {item.source};
+        const auto decoded = decode_objects(decode).items.at(0);
+        CHECK((decoded.source == item.source && decoded.problems == item.problems));
+        CHECK(document_of(decoded) == read);
+
+        const auto answer = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200,
+                                              list(object(name, 3, endpoint_spec) + "," + object("i", 4, endpoint_spec)));
+        REQUIRE(answer.items.size() == 1);
+        CHECK(answer.items[0].name == "i");
+        CHECK_FALSE(answer.problem.empty());
+    }
+    const auto paired = read_document_with(R"("Tenants":[{"Name":"\ud83d\ude00\\u0000","ApiKeys":["k"]}])");
+    CHECK(document_of(paired).workspaces.at(0).id == "😀\\u0000");
+}
+
+TEST_CASE("a name that the protocol cannot carry leaves out only the part that it is in", "[platform][store-json][odd-names]") {
+    for (const std::string name : {"a b", " ", "a\\r\\nb", "\\r\\n"}) {
+        CAPTURE(name);
+        const auto item =
+            read_document_with(R"("Tenants":[{"Name":")" + name + R"(","ApiKeys":["k"]},{"Name":"good","ApiKeys":["k"]}],)" +
+                               R"("Services":[{"Name":")" + name + R"("},{"Name":"good"}])");
+        REQUIRE(item.problems.size() == 2);
+        CHECK(item.problems[0].starts_with("Services[0]: "));
+        CHECK(item.problems[1].starts_with("Tenants[0]: "));
+        CHECK(document_of(item).workspaces.size() == 1);
+        CHECK(document_of(item).databases.size() == 1);
+        CHECK(std::holds_alternative<unreadable_item>(
+            content_of(collection::endpoints, endpoint_with("Service", "\"" + name + "\""))));
+    }
+    for (const std::string name : {"a\\nb", "a\\rb", "a\\r", "\\n", "\\u0001\\u007f", "\u00e9"}) {
+        CAPTURE(name);
+        const auto item = read_document_with(R"("Tenants":[{"Name":")" + name + R"(","ApiKeys":["k"]}],"Services":[{"Name":")" +
+                                             name + R"("}])");
+        CHECK(item.problems.empty());
+        CHECK(document_of(item).workspaces.size() == 1);
+        CHECK(document_of(item).databases.size() == 1);
+        for (const auto* field : {"Service", "Zone"}) {
+            CHECK(std::holds_alternative<endpoint_entry>(
+                content_of(collection::endpoints, endpoint_with(field, "\"" + name + "\""))));
+        }
+        const auto answer = read_store_answer(call_of(collection::endpoints, catalog_operation::list), 200,
+                                              list(object(name, 3, endpoint_spec) + "," + object("i b", 4, endpoint_spec) + "," +
+                                                   object("i\\r\\n", 5, endpoint_spec)));
+        REQUIRE(answer.items.size() == 3);
+        // The id is the last field of its message, so it may hold blanks.
+        CHECK(std::holds_alternative<endpoint_entry>(answer.items[0].content));
+        CHECK(std::holds_alternative<endpoint_entry>(answer.items[1].content));
+        CHECK(std::holds_alternative<unreadable_item>(answer.items[2].content));
+    }
+}
+
+// Guards against a cut answer that counts as a list or a watch with fewer objects.
+TEST_CASE("an answer that is cut anywhere is not read", "[platform][store-json]") {
+    const auto items = object("i-1", 3, endpoint_spec) + "," + object("i-2", 4, R"({"a":"\ud800"})");
+    const std::vector<std::pair<catalog_operation, std::string>> bodies{
+        {catalog_operation::list, list(items)},
+        {catalog_operation::list, R"({"StoreRevision":530,"HasMore":false,"items":[)" + items + "]}"},
+        {catalog_operation::watch, R"({"StoreRevision":530,"events":[{"Removed":false,"Object":)" +
+                                       object("i-1", 531, endpoint_spec) + R"(},{"Object":)" + object("i-2", 532, "{}") +
+                                       R"(,"Removed":true}]})"}};
+    for (const auto& [operation, body] : bodies) {
+        CHECK(read_store_answer(call_of(collection::endpoints, operation), 200, body).revision == 530);
+        for (std::size_t size = 0; size < body.size(); ++size) {
+            CAPTURE(body.substr(0, size));
+            CHECK_THROWS_AS(read_store_answer(call_of(collection::endpoints, operation), 200, body.substr(0, size)),
+                            format_error);
+        }
+    }
+}
