Begin a transaction only where a repeated confirmation of BEGIN can be told apart

Callers' writes could run twice, once alone and once in their transaction, and stay after a ROLLBACK (PINNED, TWICE, REFUSED): an instance that refuses BEGIN and repeats the confirmation of an earlier BEGIN just before made the host send the transaction's first statement.

Cause: the confirmations of two BEGINs on a connection are equal but for the log position in their READY, which was not looked at.

The positions of one connection never fall while the instance runs, and a repetition names the old one. A connection that has confirmed a BEGIN is chosen for another only if the endpoint's log has grown since, so that the true confirmation must name a higher position; one that does not is not taken, and the connection is given up before anything is sent. If the log has not grown, another connection is used.

--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -20,15 +20,22 @@
     }));
 }
 
+/// Returns true if the answer to a further BEGIN can be told from repeated answers to earlier ones, since the log has grown.
+bool can_begin(const endpoint_executor& endpoint, const executor_connection& connection) {
+    return !connection.last_begin || endpoint.newest_position > connection.last_begin;
+}
+
 /// Returns how well an idle connection suits a run; nothing if the run cannot use it.
-std::optional<int> suitability(const executor_connection& connection, const run_request& request) {
+std::optional<int> suitability(const endpoint_executor& endpoint, const executor_connection& connection,
+                               const run_request& request) {
     if (is_for_leader_change(request)) {
         return connection.has_delivered_status ? std::nullopt : std::optional(0);
     }
     if (is_administrative(request.kind)) {
         return connection.has_delivered_status ? 1 : 0;
     }
-    if (connection.workspace != request.workspace) {
+    const bool begins = request.start != transaction_start::none;
+    if (connection.workspace != request.workspace || (begins && !can_begin(endpoint, connection))) {
         return std::nullopt;
     }
     const bool prepared = !request.prepared || connection.prepared.contains(prepared_name(*request.prepared));
@@ -45,7 +52,7 @@
         if (connection.stage != connection_stage::idle || connection.transaction) {
             continue;
         }
-        if (const auto score = suitability(connection, request); score && *score > best_score) {
+        if (const auto score = suitability(endpoint, connection, request); score && *score > best_score) {
             best = &connection;
             best_score = *score;
         }
@@ -53,17 +60,15 @@
     return best;
 }
 
-/// Returns the connection that has been idle longest of those that another workspace uses or, if the run cannot use it, that has
-/// delivered a status.
+/// Returns the connection that has been idle longest of those that the run cannot use.
 std::optional<connection_id> find_replaceable(const executor_state& state, const endpoint_executor& endpoint,
                                               const run_request& waiting) {
     std::optional<connection_id> found;
     for (const auto id : endpoint.connections) {
         const auto& connection = state.connections.at(id);
         const bool idle = connection.stage == connection_stage::idle && !connection.transaction;
-        const bool unsuitable =
-            connection.workspace != waiting.workspace || (is_for_leader_change(waiting) && connection.has_delivered_status);
-        if (idle && unsuitable && (!found || connection.since < state.connections.at(*found).since)) {
+        if (idle && !suitability(endpoint, connection, waiting) &&
+            (!found || connection.since < state.connections.at(*found).since)) {
             found = id;
         }
     }
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -346,6 +346,12 @@
         }
         connection.has_delivered_status = true;
     }
+    const bool confirms_transaction =
+        match == answer_match::awaited && reply.proof.empty() && reply.state == session_state::in_transaction;
+    if (confirms_transaction && awaited == awaited_answer::begin && connection.last_begin &&
+        !(reply.position > connection.last_begin)) {
+        match = answer_match::unexpected;
+    }
     auto rows = hash_rows(reply.rows);
     // A read that is not in a transaction runs again on a new connection, which settles whether the rows are its own.
     if (match == answer_match::awaited && statement.is_read && !in_transaction && may_continue(connection.last_rows, rows)) {
@@ -358,6 +364,9 @@
     if (!reply.proof.empty()) {
         connection.delivered.add(reply.proof, statement);
     }
+    if (confirms_transaction) {
+        connection.last_begin = std::max(connection.last_begin, reply.position);
+    }
     if (!rows.empty()) {
         connection.last_rows = std::move(rows);
     }
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -74,8 +74,9 @@
     std::size_t setup_replies = 0;     ///< Replies to setup statements that are expected before the reply to BEGIN or to the run.
     std::optional<submitted_run> run;  ///< The run in flight.
     delivered_proofs delivered;
-    row_hashes last_rows;               ///< Of the last answer that had rows.
-    bool has_delivered_status = false;  ///< A further status on this connection may be a repetition.
+    row_hashes last_rows;                    ///< Of the last answer that had rows.
+    std::optional<log_position> last_begin;  ///< Position in the last confirmation that left the endpoint in a transaction.
+    bool has_delivered_status = false;       ///< A further status on this connection may be a repetition.
 };
 
 /// The right of this host to use an endpoint as its database's primary until a given time.
--- a/tests/executors/executor.tests.cpp
+++ b/tests/executors/executor.tests.cpp
@@ -517,3 +517,47 @@
         CHECK(item.result.outcome != run_outcome::done);
     }
 }
+
+TEST_CASE("a confirmed BEGIN that is sent twice does not begin a later transaction", "[executor][repeated-answers]") {
+    executor_fixture fixture;
+    fixture.grant_lease(1, millis{5000});
+    const auto begin = [&](std::uint64_t transaction) {
+        auto run = fixture.request(run_kind::write);
+        run.round = 1;
+        run.transaction = transaction;
+        run.start = transaction_start::plain;
+        submit_run(fixture.state, "host", run, fixture.now);
+        const auto sent = fixture.open_connections();
+        REQUIRE(sent.size() == 1);
+        REQUIRE(sent.front().statements.back().command == endpoint_command::begin);
+        return sent.front().connection;
+    };
+    endpoint_reply confirmed;
+    confirmed.state = session_state::in_transaction;
+    confirmed.position = log_position{1, 5};
+    const auto first = begin(4);
+    on_endpoint_reply(fixture.state, {first, confirmed}, fixture.now);
+    fixture.open_connections();
+    on_endpoint_reply(fixture.state, {first, proven("proof of the write", session_state::in_transaction)}, fixture.now);
+    auto commit = fixture.request(run_kind::commit);
+    commit.round = 1;
+    commit.transaction = 4;
+    submit_run(fixture.state, "host", commit, fixture.now);
+    REQUIRE(take_sent(fixture).size() == 1);
+    auto committed = proven("proof of the commit", session_state::idle);
+    SECTION("the log has grown") {
+        committed.position = log_position{1, 6};
+        on_endpoint_reply(fixture.state, {first, committed}, fixture.now);
+        fixture.state.results.clear();
+        REQUIRE(begin(5) == first);
+        on_endpoint_reply(fixture.state, {first, confirmed}, fixture.now);
+        CHECK(take_sent(fixture).empty());
+        CHECK(fixture.result().outcome == run_outcome::not_run);
+        CHECK_FALSE(fixture.state.connections.contains(first));
+    }
+    SECTION("the log has not grown") {
+        on_endpoint_reply(fixture.state, {first, committed}, fixture.now);
+        fixture.state.results.clear();
+        CHECK(begin(5) != first);
+    }
+}
