Check every answer of the soak by what callers sent and what instances ran

Callers of two workspaces share the hosts' connections to instances. - database_model records each answer on request, gives transactions numbers, keeps shapes, and answers as the protocol says in a failed transaction and to texts that are cut. Reading an item and replicating no longer copy the whole log.

--- a/tests/platform/message_connection.cpp
+++ b/tests/platform/message_connection.cpp
@@ -1,11 +1,13 @@
 #include "platform/message_connection.hpp"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
+#include <cstdint>
 #include <utility>
 
 namespace camphorstack::platform_tests {
@@ -21,6 +23,16 @@
     return false;
 }
 
+int connect_on_loopback(const std::string& address) {
+    const int opened = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    static_cast<void>(connect(opened, reinterpret_cast<const sockaddr*>(&target), sizeof(target)));
+    return opened;
+}
+
 message_connection::message_connection(fd_watcher& sockets, int connected, std::function<void(std::string_view)> on_message)
     : watcher(sockets), socket(connected), deliver(std::move(on_message)) {
     fcntl(this->socket, F_SETFL, fcntl(this->socket, F_GETFL) | O_NONBLOCK);
--- a/tests/platform/message_connection.hpp
+++ b/tests/platform/message_connection.hpp
@@ -12,6 +12,9 @@
 /// Shares no code with the product, so that both cannot make the same mistake.
 [[nodiscard]] bool take_message(std::string& input, std::string& message);
 
+/// Opens a TCP connection to an address on loopback, which may not be established yet. A failure shows when it is read.
+[[nodiscard]] int connect_on_loopback(const std::string& address);
+
 /// One TCP connection of a stand-in that exchanges the messages of the platform's protocol.
 class message_connection {
 public:
@@ -27,6 +30,8 @@
     void write(std::string_view bytes);
     /// Sends what is buffered and then ends the sending half of the connection.
     void finish();
+    /// Returns false once the other side has ended the connection or it has failed.
+    [[nodiscard]] bool is_open() const { return !this->is_closed; }
 
 private:
     void on_ready(fd_readiness ready);
--- a/tests/session_fleet/database_model.cpp
+++ b/tests/session_fleet/database_model.cpp
@@ -47,13 +47,24 @@
 }
 
 std::string read_item(const instance_model& instance, const std::string& item) {
-    std::string value = "none";
-    for (std::size_t i = 0; i < instance.applied; ++i) {
-        for (const auto& [name, data] : instance.log[i].writes) {
-            value = name == item ? data : value;
+    for (std::size_t i = instance.applied; i > 0; --i) {
+        const auto& writes = instance.log[i - 1].writes;
+        const auto newest = std::find_if(writes.rbegin(), writes.rend(), [&](const auto& write) { return write.first == item; });
+        if (newest != writes.rend()) {
+            return newest->second;
         }
     }
-    return value;
+    return "none";
+}
+
+bool ends_transaction(const endpoint_statement& requested) {
+    return requested.command == endpoint_command::rollback ||
+           (requested.command == endpoint_command::statement && requested.text == "COMMIT");
+}
+
+bool is_about_instance(const endpoint_statement& requested) {
+    return requested.command == endpoint_command::reset || requested.command == endpoint_command::status ||
+           requested.command == endpoint_command::demote;
 }
 
 }  // namespace
@@ -81,15 +92,47 @@
 endpoint_reply database_model::run(instance_model& instance, connection_id connection, const endpoint_statement& requested,
                                    instant now) {
     auto& from = instance.connections.at(connection);
-    auto reply = this->run_statement(instance, from, requested, now);
+    observed_answer observed;
+    if (this->records_answers) {
+        const auto prepared = from.prepared.find(requested.name);
+        observed = {instance.entry.id,
+                    requested,
+                    from.workspace,
+                    from.values,
+                    prepared == from.prepared.end() ? std::nullopt : std::optional(prepared->second),
+                    from.transaction ? from.transaction->number : 0,
+                    {}};
+    }
+    auto reply = this->run_unless_refused(instance, from, requested, now);
     if (reply.code != result_code::none && from.transaction) {
         from.transaction->failed = true;
     }
     reply.state = state_of(from);
     reply.position = applied_end(instance);
+    if (this->records_answers) {
+        observed.reply = reply;
+        this->answers.push_back(std::move(observed));
+    }
     return reply;
 }
 
+endpoint_reply database_model::run_unless_refused(instance_model& instance, instance_connection& connection,
+                                                  const endpoint_statement& requested, instant now) {
+    if (connection.transaction && connection.transaction->failed && !is_about_instance(requested)) {
+        if (!ends_transaction(requested)) {
+            return error_reply(result_code::malformed);
+        }
+        connection.transaction.reset();
+        return requested.command == endpoint_command::rollback ? endpoint_reply{} : error_reply(result_code::aborted);
+    }
+    const auto refusal = this->refuse ? this->refuse(instance.entry.id, requested) : std::nullopt;
+    if (refusal && *refusal != result_code::failed) {
+        return error_reply(*refusal);
+    }
+    auto reply = this->run_statement(instance, connection, requested, now);
+    return refusal && reply.code == result_code::none ? error_reply(*refusal) : reply;
+}
+
 endpoint_reply database_model::commit(instance_model& instance, const endpoint_statement& requested, open_transaction ended) {
     if (!ended.writes.empty()) {
         if (!instance.primary) {
@@ -118,14 +161,15 @@
             connection.values[requested.name] = requested.text;
             return {};
         case endpoint_command::prepare:
-            connection.prepared[requested.name] = requested.writes;
+            connection.prepared[requested.name] = {requested.writes, requested.text};
             return {};
         case endpoint_command::begin:
         case endpoint_command::begin_read_only:
             if (requested.command == endpoint_command::begin && !instance.primary) {
                 return error_reply(result_code::read_only);
             }
-            connection.transaction = open_transaction{requested.command == endpoint_command::begin_read_only, false, {}, {}};
+            connection.transaction =
+                open_transaction{requested.command == endpoint_command::begin_read_only, false, {}, {}, ++this->last_transaction};
             return {};
         case endpoint_command::rollback:
             connection.transaction.reset();
@@ -151,14 +195,20 @@
         return error_reply(result_code::no_statement);
     }
     if (!executes && word == "COMMIT") {
+        if (!connection.transaction) {
+            return error_reply(result_code::malformed);
+        }
         auto ended = std::move(*std::exchange(connection.transaction, std::nullopt));
         ended.statement_ids.push_back(requested.id);
         return this->commit(instance, requested, std::move(ended));
     }
-    const bool writes = executes ? connection.prepared.at(requested.name) : word == "WRITE";
+    const bool writes = executes ? connection.prepared.at(requested.name).writes : word == "WRITE";
     // A read's item extends to the end of the text, as the data of a write does.
     const auto arguments = fields_of(executes ? requested.text : fields_of(requested.text, 2).back(), writes ? 2 : 1);
     const auto& item = arguments.front();
+    if (writes && arguments.size() < 2) {
+        return error_reply(result_code::malformed);
+    }
     if (writes && (!instance.primary || (connection.transaction && connection.transaction->read_only))) {
         return error_reply(result_code::read_only);
     }
@@ -184,7 +234,14 @@
     for (auto& [name, replica] : this->instances) {
         const bool reachable = replica.alive && !unreachable.contains(name);
         if (name != leader.entry.id && reachable) {
-            replica.log = leader.log;
+            const auto common = replica.log.size();
+            const bool is_prefix =
+                common <= leader.log.size() && (common == 0 || replica.log.back().position == leader.log[common - 1].position);
+            if (!is_prefix) {
+                replica.log = leader.log;
+            } else {
+                replica.log.insert(replica.log.end(), leader.log.begin() + static_cast<std::ptrdiff_t>(common), leader.log.end());
+            }
             replica.applied = replica.log.size();
             replica.term = leader.term;
             replica.primary = false;
--- a/tests/session_fleet/database_model.hpp
+++ b/tests/session_fleet/database_model.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -25,13 +26,22 @@
     bool failed = false;
     std::vector<std::pair<std::string, std::string>> writes;
     std::vector<std::string> statement_ids;
+    std::uint64_t number = 0;  ///< Differs from that of every other transaction of the database.
+};
+
+/// A statement that was prepared on a connection.
+struct prepared_statement {
+    bool writes = false;
+    std::string shape;
+
+    friend bool operator==(const prepared_statement&, const prepared_statement&) = default;
 };
 
 /// State of a connection at an instance.
 struct instance_connection {
     workspace_id workspace;
     std::map<std::string, std::string> values;
-    std::map<std::string, bool> prepared;  ///< By name: true if the statement writes.
+    std::map<std::string, prepared_statement> prepared;  ///< By name.
     std::optional<open_transaction> transaction;
 };
 
@@ -45,6 +55,17 @@
     std::map<std::string, std::string> values;
 };
 
+/// A statement and the answer that an instance gave, with the state of the connection before the statement.
+struct observed_answer {
+    endpoint_id endpoint;
+    endpoint_statement requested;
+    workspace_id workspace;
+    std::map<std::string, std::string> values;
+    std::optional<prepared_statement> prepared;  ///< What the name in an `execute` stood for.
+    std::uint64_t transaction = 0;               ///< Number of the connection's transaction; 0 outside a transaction.
+    endpoint_reply reply;
+};
+
 /// One instance of a database.
 struct instance_model {
     endpoint_entry entry;
@@ -79,13 +100,22 @@
     database_id id;
     std::map<endpoint_id, instance_model> instances;
     std::vector<observed_run> runs;
+    bool records_answers = false;
+    std::vector<observed_answer> answers;  ///< All answers, if `records_answers`.
+    /// Returns an error with which the instance answers a statement: `failed` after the statement has run, others in place of
+    /// running it.
+    std::function<std::optional<result_code>(const endpoint_id&, const endpoint_statement&)> refuse;
 
 private:
     endpoint_reply commit(instance_model& instance, const endpoint_statement& requested, open_transaction ended);
     endpoint_reply run_statement(instance_model& instance, instance_connection& connection, const endpoint_statement& requested,
                                  instant now);
 
+    endpoint_reply run_unless_refused(instance_model& instance, instance_connection& connection,
+                                      const endpoint_statement& requested, instant now);
+
     term_number newest_term = 1;
+    std::uint64_t last_transaction = 0;
 };
 
 }  // namespace camphorstack::session_tests
--- a/tests/soak/session_soak.tests.cpp
+++ b/tests/soak/session_soak.tests.cpp
@@ -26,18 +26,22 @@
     soak_platform system(seed, environment_variable("SOAK_PROGRAM", "build/bin/camphorstack"),
                          environment_variable("SOAK_FOLDER", "/tmp"), std::stoi(environment_variable("SOAK_PORT", "28100")));
     const bool started = system.recovers_within(recovery);
-    REQUIRE(started);
-    system.run_with_faults(span);
-    const bool recovered = system.recovers_within(recovery);
-    std::cout << "soak: seed=" << seed << " faults=" << system.faults().size() << " acknowledged=" << system.acknowledged()
-              << " promotions=" << system.promotions() << " violations=" << system.violations().size()
-              << " recovered=" << (recovered ? "yes" : "no") << std::endl;
-    for (const auto& fault : system.faults()) {
-        UNSCOPED_INFO(fault);
+    if (started) {
+        system.run_with_faults(span);
     }
-    for (const auto& violation : system.violations()) {
-        UNSCOPED_INFO("broken: " << violation);
+    const bool recovered = started && system.recovers_within(recovery);
+    std::cout << "soak: seed=" << seed << " faults=" << system.faults().size() << " statements=" << system.statements()
+              << " acknowledged=" << system.acknowledged() << " promotions=" << system.promotions()
+              << " violations=" << system.violations().size() << " recovered=" << (recovered ? "yes" : "no") << std::endl;
+    if (!recovered || !system.violations().empty()) {
+        for (const auto& fault : system.faults()) {
+            std::cout << fault << "\n";
+        }
+        for (const auto& violation : system.violations()) {
+            std::cout << "broken: " << violation << "\n";
+        }
     }
+    CHECK(started);
     CHECK(system.violations().empty());
     CHECK(recovered);
 }
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -12,6 +12,7 @@
 constexpr int host_count = 4;
 constexpr int caller_count = 8;
 constexpr int ports_of_host = 4;
+constexpr int workspace_count = 2;
 /// Time between a promotion call and the change of primary at the platform.
 constexpr millis promotion_delay{300};
 constexpr millis replication_interval{8};
@@ -22,7 +23,8 @@
     R"({"Name":"p","Host":"books-p","Kind":"primary","Service":"db","TimeoutMs":800,"TargetLatencyMs":300},)"
     R"({"Name":"r","Host":"books-r","Kind":"read_your_writes","Service":"db","TimeoutMs":800,"TargetLatencyMs":500,)"
     R"("MaxStalenessMs":1500}],"Services":[{"Name":"db","MaxConnections":16}],)"
-    R"("Tenants":[{"Name":"soak","ApiKeys":["soak-key"],"RatePerS":5000,"Burst":5000}]})";
+    R"("Tenants":[{"Name":"soak-0","ApiKeys":["key-0"],"RatePerS":5000,"Burst":5000},)"
+    R"({"Name":"soak-1","ApiKeys":["key-1"],"RatePerS":5000,"Burst":5000}]})";
 
 /// Returns the text of a string field in JSON text. The stand-in for the store records the bodies of promotion calls without
 /// parsing them.
@@ -46,8 +48,11 @@
                              this->store_proxies.back()->address(), first_port + i * ports_of_host}));
     }
     for (int i = 0; i < caller_count; ++i) {
-        this->callers.push_back(std::make_unique<soak_caller>(this->sockets, this->checker, "i" + std::to_string(i),
-                                                              i % 4 == 3 ? "books-r" : "books-p"));
+        const auto workspace = std::to_string(i % workspace_count);
+        this->callers.push_back(std::make_unique<soak_caller>(
+            this->sockets, this->checker,
+            soak_caller_config{"i" + std::to_string(i), i % 4 == 3 ? "books-r" : "books-p", "key-" + workspace,
+                               "soak-" + workspace, seed * caller_count + static_cast<std::uint64_t>(i)}));
     }
 }
 
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -28,6 +28,8 @@
     [[nodiscard]] std::vector<std::string> violations() const;
     [[nodiscard]] const std::vector<std::string>& faults() const { return this->fault_log; }
     [[nodiscard]] std::size_t acknowledged() const { return this->checker.acknowledged(); }
+    /// Number of statements that the instances answered, including the hosts' own.
+    [[nodiscard]] std::size_t statements() const { return this->model.answers.size(); }
     [[nodiscard]] std::size_t promotions() const { return this->seen_promotions; }
 
 private:
