Let the soak's instances repeat, cut and refuse answers

New faults, chosen by the seed: an instance sends its answers twice (at once, before or after the next answer, up to 60 ms later, or a mix of these), answers a quarter of its statements with BUSY, LAGGING (where a position is asked for) or FAILED (after the run), or ends connections in the middle of an answer. Each run starts with repeated answers of the primary, so that also a run of 10 s has them.

The stand-in of an instance fails the test as before if it gets a message that is not of the protocol, but then answers and goes on, so that the checker can report what ran.

--- a/tests/platform/wire_instance.cpp
+++ b/tests/platform/wire_instance.cpp
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <utility>
+
 #include <catch2/catch.hpp>
 
 #include "camphorstack/support/socket_address.hpp"
@@ -113,14 +115,30 @@
         this->answer(from, "READY I -\r\n");
         return;
     }
-    REQUIRE(word == "QUERY");
+    CHECK(word == "QUERY");
+    if (word != "QUERY") {
+        from.socket->write("ERROR MALFORMED not a message of the protocol\r\n");
+        from.socket->finish();
+        return;
+    }
     const auto reply = this->model.run(instance, id, parse_query(rest), instant{});
     if (!this->drops_replies) {
         this->answer(from, reply_lines(reply));
     }
 }
 
+void wire_instance::repeat_late() {
+    for (auto& [id, opened] : this->connections) {
+        opened.socket->write(std::exchange(opened.late_answers, {}));
+    }
+}
+
 void wire_instance::answer(connection& asked, const std::string& messages) {
+    if (this->cuts_answers) {
+        asked.socket->write(messages.substr(0, messages.size() / 2));
+        asked.socket->finish();
+        return;
+    }
     switch (this->repetition) {
         case answer_repetition::none:
             asked.socket->write(messages);
@@ -134,6 +152,10 @@
         case answer_repetition::after_next:
             asked.socket->write(messages + asked.last_answer);
             break;
+        case answer_repetition::later:
+            asked.socket->write(messages);
+            asked.late_answers += messages;
+            break;
     }
     asked.last_answer = messages;
 }
--- a/tests/platform/wire_instance.hpp
+++ b/tests/platform/wire_instance.hpp
@@ -17,6 +17,7 @@
     at_once,      ///< Directly after the first time.
     before_next,  ///< Before the answer to the next statement on the connection, so that the repeated one is read in its place.
     after_next,   ///< After the answer to the next statement.
+    later,        ///< When `repeat_late` is called.
 };
 
 /// Stand-in for a database instance that speaks the platform's protocol over TCP on loopback.
@@ -31,15 +32,19 @@
     ~wire_instance();
 
     [[nodiscard]] std::string address() const;
+    /// Sends the answers that are to be repeated later once more.
+    void repeat_late();
 
     std::vector<std::string> lines;  ///< All messages received, without their CR LF.
     bool drops_replies = false;      ///< Statements are executed but not answered.
+    bool cuts_answers = false;       ///< A connection ends in the middle of an answer.
     answer_repetition repetition = answer_repetition::none;
 
 private:
     struct connection {
         std::unique_ptr<message_connection> socket;
-        std::string last_answer;  ///< Not yet repeated.
+        std::string last_answer;   ///< Not yet repeated.
+        std::string late_answers;  ///< To be repeated later.
     };
 
     void accept_pending();
--- a/tests/soak/session_soak.tests.cpp
+++ b/tests/soak/session_soak.tests.cpp
@@ -19,18 +19,20 @@
 // Guards against violated guarantees and failed recovery when hosts are killed, stopped or paused and the store or the primary
 // fails. Run by tools/soak, which sets the environment variables.
 TEST_CASE("session hosts keep their promises under random faults", "[.soak]") {
-    const auto seed = std::stoull(environment_variable("SOAK_SEED", "1"));
     const millis span{std::stoll(environment_variable("SOAK_SECONDS", "20")) * 1000};
     // The platform requires that all callers are served again within this time after the last fault.
     constexpr millis recovery{12000};
-    soak_platform system(seed, environment_variable("SOAK_PROGRAM", "build/bin/camphorstack"),
-                         environment_variable("SOAK_FOLDER", "/tmp"), std::stoi(environment_variable("SOAK_PORT", "28100")));
+    const soak_config config{
+        std::stoull(environment_variable("SOAK_SEED", "1")), environment_variable("SOAK_PROGRAM", "build/bin/camphorstack"),
+        environment_variable("SOAK_FOLDER", "/tmp"),         std::stoi(environment_variable("SOAK_PORT", "28100")),
+        std::stoi(environment_variable("SOAK_HOSTS", "4")),  std::stoi(environment_variable("SOAK_CALLERS", "8"))};
+    soak_platform system(config);
     const bool started = system.recovers_within(recovery);
     if (started) {
         system.run_with_faults(span);
     }
     const bool recovered = started && system.recovers_within(recovery);
-    std::cout << "soak: seed=" << seed << " faults=" << system.faults().size() << " statements=" << system.statements()
+    std::cout << "soak: seed=" << config.seed << " faults=" << system.faults().size() << " statements=" << system.statements()
               << " acknowledged=" << system.acknowledged() << " promotions=" << system.promotions()
               << " violations=" << system.violations().size() << " recovered=" << (recovered ? "yes" : "no") << std::endl;
     if (!recovered || !system.violations().empty()) {
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_platform.hpp"
 
 #include <algorithm>
+#include <array>
 
 #include "links/run_main_loop.hpp"
 #include "platform/wire_words.hpp"
@@ -9,14 +10,17 @@
 
 namespace {
 
-constexpr int host_count = 4;
-constexpr int caller_count = 8;
 constexpr int ports_of_host = 4;
 constexpr int workspace_count = 2;
 /// Time between a promotion call and the change of primary at the platform.
 constexpr millis promotion_delay{300};
 constexpr millis replication_interval{8};
 constexpr unsigned unavailable = 503;
+/// Longest time between an answer and its repetition if that comes later.
+constexpr std::uint64_t max_late_ms = 60;
+using repetition = platform_tests::answer_repetition;
+constexpr std::uint64_t repetition_count = 5;
+constexpr std::array refusal_codes{result_code::busy, result_code::lagging, result_code::failed};
 
 const char* const document_text =
     R"({"Version":1,"Routes":[)"
@@ -37,22 +41,26 @@
 
 }  // namespace
 
-soak_platform::soak_platform(std::uint64_t seed, const std::string& program, const std::string& folder, int first_port)
-    : random(seed), caller_choices(seed) {
+soak_platform::soak_platform(const soak_config& config)
+    : random(config.seed), caller_choices(config.seed), answer_choices(config.seed) {
+    this->model.refuse = [this](const endpoint_id& id, const endpoint_statement& requested) {
+        return this->choose_refusal(id, requested);
+    };
     this->store.put("config", "main", document_text);
     this->publish_instances();
-    for (int i = 0; i < host_count; ++i) {
+    for (int i = 0; i < config.hosts; ++i) {
         this->store_proxies.push_back(std::make_unique<soak_proxy>(this->sockets, this->store.address()));
         this->hosts.push_back(std::make_unique<soak_host>(
-            soak_host_config{"front-" + std::to_string(i), i % 2 == 0 ? "amman-a" : "irbid-a", program, folder,
-                             this->store_proxies.back()->address(), first_port + i * ports_of_host}));
+            soak_host_config{"front-" + std::to_string(i), i % 2 == 0 ? "amman-a" : "irbid-a", config.program, config.folder,
+                             this->store_proxies.back()->address(), config.first_port + i * ports_of_host}));
     }
-    for (int i = 0; i < caller_count; ++i) {
+    for (int i = 0; i < config.callers; ++i) {
         const auto workspace = std::to_string(i % workspace_count);
         this->callers.push_back(std::make_unique<soak_caller>(
             this->sockets, this->checker,
             soak_caller_config{"i" + std::to_string(i), i % 4 == 3 ? "books-r" : "books-p", "key-" + workspace,
-                               "soak-" + workspace, seed * caller_count + static_cast<std::uint64_t>(i)}));
+                               "soak-" + workspace,
+                               config.seed * static_cast<std::uint64_t>(config.callers) + static_cast<std::uint64_t>(i)}));
     }
 }
 
@@ -109,6 +117,7 @@
     const auto now = this->time.now();
     this->checker.observe();
     this->process_promotions(now);
+    this->disturb_answers(now);
     if (now >= this->next_replication) {
         this->next_replication = now + replication_interval;
         this->model.replicate({});
@@ -122,7 +131,8 @@
 }
 
 void soak_platform::inject_fault(instant now) {
-    const auto kind = static_cast<fault>(this->random() % 12);
+    // Starts with answers that are repeated, so that also a short run has them.
+    const auto kind = this->fault_log.empty() ? fault::stutter : static_cast<fault>(this->random() % fault_count);
     std::string what;
     switch (kind) {
         case fault::kill_host: {
@@ -192,6 +202,29 @@
             this->random_store_proxy().reset_all();
             what = "reset a host's connections to the store";
             break;
+        case fault::stutter: {
+            const auto id = this->fault_log.empty() ? this->model.primary().entry.id : this->random_instance();
+            const auto way = static_cast<repetition>(this->random() % repetition_count);
+            const auto span = this->random_span(500, 4000);
+            this->stutters[id] = {way, now + span};
+            what = id + " repeats answers, kind=" + std::to_string(static_cast<int>(way)) + " ms=" + std::to_string(span.count);
+            break;
+        }
+        case fault::refuse_statements: {
+            const auto span = this->random_span(300, 3000);
+            this->refusing = this->random_instance();
+            this->refusal = refusal_codes[this->random() % refusal_codes.size()];
+            this->refusing_until = now + span;
+            what = this->refusing + " answers statements with " + to_string(this->refusal) + " ms=" + std::to_string(span.count);
+            break;
+        }
+        case fault::cut_answers: {
+            const auto span = this->random_span(50, 500);
+            this->cutting = this->random_instance();
+            this->cutting_until = now + span;
+            what = this->cutting + " cuts answers ms=" + std::to_string(span.count);
+            break;
+        }
     }
     this->fault_log.push_back("t=" + std::to_string(now.since_start) + " " + what);
 }
@@ -212,12 +245,50 @@
         }
         return over;
     });
+    std::erase_if(this->stutters, [&](const auto& item) { return all || now >= item.second.until; });
+    if (all || now >= this->refusing_until) {
+        this->refusing.clear();
+    }
+    if (all || now >= this->cutting_until) {
+        this->cutting.clear();
+    }
     if (!this->draining.empty() && (all || now >= this->draining_until)) {
         this->draining.clear();
         this->publish_instances();
     }
 }
 
+void soak_platform::disturb_answers(instant now) {
+    for (const auto& [id, known] : this->model.instances) {
+        auto& disturbed = this->instance(id);
+        disturbed.cuts_answers = this->cutting == id && this->answer_choices() % 4 == 0;
+        const auto found = this->stutters.find(id);
+        disturbed.repetition = found == this->stutters.end() ? repetition::none
+                               : found->second.kind == repetition::none
+                                   ? static_cast<repetition>(this->answer_choices() % repetition_count)
+                                   : found->second.kind;
+        if (now >= this->next_late_answers) {
+            disturbed.repeat_late();
+        }
+    }
+    if (now >= this->next_late_answers) {
+        this->next_late_answers = now + millis{static_cast<std::int64_t>(this->answer_choices() % max_late_ms)};
+    }
+}
+
+std::optional<result_code> soak_platform::choose_refusal(const endpoint_id& id, const endpoint_statement& requested) {
+    if (id != this->refusing || this->answer_choices() % 4 != 0) {
+        return std::nullopt;
+    }
+    const bool is_statement = requested.command == endpoint_command::statement || requested.command == endpoint_command::execute;
+    const bool is_begin = requested.command == endpoint_command::begin || requested.command == endpoint_command::begin_read_only;
+    const bool is_possible = this->refusal == result_code::failed ? is_statement
+                             : this->refusal == result_code::lagging
+                                 ? requested.after.has_value()
+                                 : is_statement || is_begin || requested.command == endpoint_command::status;
+    return is_possible ? std::optional(this->refusal) : std::nullopt;
+}
+
 std::string soak_platform::hold(soak_proxy& proxy, instant until) {
     const auto which = this->random() % 3;
     proxy.hold(which != 1, which != 0);
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -14,11 +14,23 @@
 
 namespace camphorstack::soak {
 
+/// What a soak consists of.
+struct soak_config {
+    std::uint64_t seed = 1;
+    std::string program;
+    std::string folder;  ///< For settings and logs of hosts.
+    int first_port = 0;  ///< Four ports for each host follow one another.
+    int hosts = 4;
+    int callers = 8;
+
+    friend bool operator==(const soak_config&, const soak_config&) = default;
+};
+
 /// Runs session hosts as processes, and in this process the callers and stand-ins for the store and for a database of two
 /// instances. Faults are chosen at random by the seed; they follow one another and may overlap.
 class soak_platform {
 public:
-    soak_platform(std::uint64_t seed, const std::string& program, const std::string& folder, int first_port);
+    explicit soak_platform(const soak_config& config);
 
     /// Runs for `span` and injects faults.
     void run_with_faults(millis span);
@@ -37,6 +49,10 @@
         endpoint_id target;
         instant at;
     };
+    struct stutter_fault {
+        platform_tests::answer_repetition kind;  ///< `none` if each moment has a kind of its own.
+        instant until;
+    };
     enum class fault {
         kill_host,
         stop_host,
@@ -49,12 +65,20 @@
         hold_instance,
         reset_instance,
         hold_store,
-        reset_store
+        reset_store,
+        stutter,
+        refuse_statements,
+        cut_answers
     };
+    static constexpr std::uint64_t fault_count = 15;
 
     void tick();
     void inject_fault(instant now);
     void end_faults(instant now, bool all);
+    /// Lets an instance repeat or cut answers, as its faults say.
+    void disturb_answers(instant now);
+    /// Chooses an error for a statement, or none. See `database_model::refuse`.
+    std::optional<result_code> choose_refusal(const endpoint_id& id, const endpoint_statement& requested);
     void process_promotions(instant now);
     void promote(const endpoint_id& id);
     void publish_instances();
@@ -64,6 +88,7 @@
     }
     /// Holds back requests, answers or both until `until`. Returns a text that names what is held back.
     std::string hold(soak_proxy& proxy, instant until);
+    endpoint_id random_instance() { return this->random() % 2 == 0 ? "db-0" : "db-1"; }
     soak_proxy& random_instance_proxy() { return this->random() % 2 == 0 ? this->first_proxy : this->second_proxy; }
     soak_proxy& random_store_proxy() { return *this->store_proxies[this->random() % this->store_proxies.size()]; }
     soak_host& random_host(random_source& source) { return *this->hosts[source() % this->hosts.size()]; }
@@ -71,6 +96,7 @@
     random_source random;  ///< Chooses the faults. A generator of its own, so that a seed's faults do not depend on how often
                            ///< callers connect.
     random_source caller_choices;  ///< Chooses the hosts to which callers connect.
+    random_source answer_choices;  ///< Chooses the answers that are repeated, refused or cut.
     monotonic_clock time;
     fd_watcher sockets;
     platform_tests::object_store store;
@@ -94,6 +120,13 @@
     instant primary_silent_until;
     std::map<soak_proxy*, instant> hold_ends;  ///< Proxies that hold back data, and until when.
     instant draining_until;
+    std::map<endpoint_id, stutter_fault> stutters;  ///< By the instance that stutters.
+    endpoint_id refusing;
+    result_code refusal = result_code::none;
+    instant refusing_until;
+    endpoint_id cutting;
+    instant cutting_until;
+    instant next_late_answers;
     instant next_fault;
     instant next_replication;
 };
