Let the soak run many hosts and callers, and say which callers were not served

The line of a run counts statements and transactions, and a failed run names the callers that were not served in time.

--- a/tests/soak/guarantee_checker.cpp
+++ b/tests/soak/guarantee_checker.cpp
@@ -205,7 +205,10 @@
     } else if (transaction.at_instance != observed.transaction) {
         this->add_violation(id, "ran in another transaction of the instance than the statements before it");
     }
-    transaction.is_committed = transaction.is_committed || known.sent.kind == sent_kind::commit;
+    if (known.sent.kind == sent_kind::commit) {
+        transaction.is_committed = true;
+        ++this->transactions_committed;
+    }
 }
 
 }  // namespace camphorstack::soak
--- a/tests/soak/guarantee_checker.hpp
+++ b/tests/soak/guarantee_checker.hpp
@@ -73,6 +73,8 @@
     void observe();
 
     [[nodiscard]] const std::vector<std::string>& violations() const { return this->found_violations; }
+    /// Number of transactions that instances committed.
+    [[nodiscard]] std::size_t committed_transactions() const { return this->transactions_committed; }
     [[nodiscard]] std::size_t acknowledged() const { return this->acknowledged_writes; }
 
 private:
@@ -89,6 +91,7 @@
     std::map<std::uint64_t, std::string> transaction_at_instance;  ///< Id of the BEGIN, by the number at the instance.
     std::size_t processed_answers = 0;
     std::size_t acknowledged_writes = 0;
+    std::size_t transactions_committed = 0;
     std::vector<std::string> found_violations;
 };
 
--- a/tests/soak/session_soak.tests.cpp
+++ b/tests/soak/session_soak.tests.cpp
@@ -33,12 +33,16 @@
     }
     const bool recovered = started && system.recovers_within(recovery);
     std::cout << "soak: seed=" << config.seed << " faults=" << system.faults().size() << " statements=" << system.statements()
-              << " acknowledged=" << system.acknowledged() << " promotions=" << system.promotions()
-              << " violations=" << system.violations().size() << " recovered=" << (recovered ? "yes" : "no") << std::endl;
+              << " transactions=" << system.transactions() << " acknowledged=" << system.acknowledged()
+              << " promotions=" << system.promotions() << " violations=" << system.violations().size()
+              << " recovered=" << (recovered ? "yes" : "no") << std::endl;
     if (!recovered || !system.violations().empty()) {
         for (const auto& fault : system.faults()) {
             std::cout << fault << "\n";
         }
+        for (const auto& caller : system.unserved()) {
+            std::cout << "not served in time: " << caller << "\n";
+        }
         for (const auto& violation : system.violations()) {
             std::cout << "broken: " << violation << "\n";
         }
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -83,6 +83,14 @@
     this->had_promotion = true;
 }
 
+std::string soak_caller::describe() const {
+    const auto* const waits = !this->socket     ? "has no session"
+                              : !this->is_ready ? "waits for its session"
+                              : this->open      ? "waits for an answer"
+                                                : "is idle";
+    return this->config.name + " on " + this->config.route + " " + waits + "; last outcome: " + to_string(this->answer.code);
+}
+
 void soak_caller::connect(const std::string& address, instant now) {
     this->waiting_since = now;
     this->next_action_time = now + pause_after_failure;
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -37,6 +37,8 @@
     /// log.
     void lower_expected_value(int value_in_log);
     [[nodiscard]] const std::string& item() const { return this->own_item; }
+    /// Names the caller and what it waits for or was last answered.
+    [[nodiscard]] std::string describe() const;
     /// Number of statements that an instance answered with success.
     [[nodiscard]] std::size_t successes() const { return this->success_count; }
 
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -22,11 +22,15 @@
 constexpr std::uint64_t repetition_count = 5;
 constexpr std::array refusal_codes{result_code::busy, result_code::lagging, result_code::failed};
 
+/// Connections and slots of an instance for each caller.
+constexpr int connections_per_caller = 2;
+constexpr int callers_per_slot = 4;
+
 const char* const document_text =
     R"({"Version":1,"Routes":[)"
     R"({"Name":"p","Host":"books-p","Kind":"primary","Service":"db","TimeoutMs":800,"TargetLatencyMs":300},)"
     R"({"Name":"r","Host":"books-r","Kind":"read_your_writes","Service":"db","TimeoutMs":800,"TargetLatencyMs":500,)"
-    R"("MaxStalenessMs":1500}],"Services":[{"Name":"db","MaxConnections":16}],)"
+    R"("MaxStalenessMs":1500}],"Services":[{"Name":"db","MaxConnections":@}],)"
     R"("Tenants":[{"Name":"soak-0","ApiKeys":["key-0"],"RatePerS":5000,"Burst":5000},)"
     R"({"Name":"soak-1","ApiKeys":["key-1"],"RatePerS":5000,"Burst":5000}]})";
 
@@ -42,11 +46,13 @@
 }  // namespace
 
 soak_platform::soak_platform(const soak_config& config)
-    : random(config.seed), caller_choices(config.seed), answer_choices(config.seed) {
+    : random(config.seed), caller_choices(config.seed), answer_choices(config.seed), slots(config.callers / callers_per_slot) {
     this->model.refuse = [this](const endpoint_id& id, const endpoint_statement& requested) {
         return this->choose_refusal(id, requested);
     };
-    this->store.put("config", "main", document_text);
+    std::string document = document_text;
+    document.replace(document.find('@'), 1, std::to_string(config.callers * connections_per_caller));
+    this->store.put("config", "main", document);
     this->publish_instances();
     for (int i = 0; i < config.hosts; ++i) {
         this->store_proxies.push_back(std::make_unique<soak_proxy>(this->sockets, this->store.address()));
@@ -89,17 +95,24 @@
     }
     // Two statements, because the first one may have been answered before the faults ended.
     constexpr std::size_t wanted = 2;
-    return tests::run_until(
+    const auto is_served = [&](std::size_t i) { return this->callers[i]->successes() >= before[i] + wanted; };
+    const bool all_served = tests::run_until(
         [&] {
             this->tick();
             for (std::size_t i = 0; i < before.size(); ++i) {
-                if (this->callers[i]->successes() < before[i] + wanted) {
+                if (!is_served(i)) {
                     return false;
                 }
             }
             return true;
         },
         limit);
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        if (!is_served(i)) {
+            this->unserved_callers.push_back(this->callers[i]->describe());
+        }
+    }
+    return all_served;
 }
 
 std::vector<std::string> soak_platform::violations() const {
@@ -342,8 +355,8 @@
         this->store.put("servers", id,
                         R"({"Service":"db","Address":")" + (id == "db-0" ? this->first_proxy : this->second_proxy).address() +
                             R"(","Zone":")" + known.entry.location + R"(","State":")" +
-                            (this->draining == id ? "draining" : "ready") +
-                            R"(","Version":"v1","Slots":2,"ColdRemainingMs":0,"Sequence":1,"DatabaseRole":")" +
+                            (this->draining == id ? "draining" : "ready") + R"(","Version":"v1","Slots":)" +
+                            std::to_string(this->slots) + R"(,"ColdRemainingMs":0,"Sequence":1,"DatabaseRole":")" +
                             (is_primary ? "primary" : "replica") + R"("})");
     }
 }
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -39,6 +39,9 @@
 
     [[nodiscard]] std::vector<std::string> violations() const;
     [[nodiscard]] const std::vector<std::string>& faults() const { return this->fault_log; }
+    /// Callers that were not served again in time.
+    [[nodiscard]] const std::vector<std::string>& unserved() const { return this->unserved_callers; }
+    [[nodiscard]] std::size_t transactions() const { return this->checker.committed_transactions(); }
     [[nodiscard]] std::size_t acknowledged() const { return this->checker.acknowledged(); }
     /// Number of statements that the instances answered, including the hosts' own.
     [[nodiscard]] std::size_t statements() const { return this->model.answers.size(); }
@@ -97,6 +100,7 @@
                            ///< callers connect.
     random_source caller_choices;  ///< Chooses the hosts to which callers connect.
     random_source answer_choices;  ///< Chooses the answers that are repeated, refused or cut.
+    int slots;                     ///< Of each instance.
     monotonic_clock time;
     fd_watcher sockets;
     platform_tests::object_store store;
@@ -115,6 +119,7 @@
     std::string last_holder;
     std::vector<std::string> fence_violations;
     std::vector<std::string> fault_log;
+    std::vector<std::string> unserved_callers;
     endpoint_id draining;
     instant store_faulty_until;
     instant primary_silent_until;
