Show that a write runs outside its transaction when a refused BEGIN seems confirmed

The instance runs it alone and commits it; the refusal then ends the connection, the host begins again, and the write runs a second time. After the caller's ROLLBACK the first one is kept.

Cause: the confirmations of two BEGINs on one connection are equal (no proof, state T), so that match_answer cannot tell them apart.

--- a/tests/platform/repeated_answers.tests.cpp
+++ b/tests/platform/repeated_answers.tests.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <optional>
+#include <utility>
 
 #include "links/raw_client.hpp"
 #include "platform/platform_fixture.hpp"
@@ -67,3 +69,34 @@
     }
     CHECK(ask(caller, "last READ item").starts_with("ROW 9\r\nDONE proof-last\r\n"));
 }
+
+TEST_CASE("a write does not run outside its transaction when BEGIN is refused after a repeated confirmation",
+          "[platform][repeated-answers]") {
+    platform_fixture system;
+    system.model.records_answers = true;
+    raw_client caller(system.callers);
+    open_session(caller);
+    const auto code = GENERATE(result_code::busy, result_code::read_only);
+    bool refuses_begin = false;
+    // The confirmation of the first BEGIN is repeated when the second one has arrived, just before the refusal of that.
+    system.model.refuse = [&](const endpoint_id&, const endpoint_statement& requested) -> std::optional<result_code> {
+        const bool begins = requested.command == endpoint_command::begin;
+        system.primary.repetition = begins ? answer_repetition::later : answer_repetition::none;
+        if (!begins || !std::exchange(refuses_begin, false)) {
+            return std::nullopt;
+        }
+        system.primary.repeat_late();
+        return code;
+    };
+    REQUIRE(ask(caller, "b1 BEGIN").starts_with("DONE -\r\nREADY T"));
+    REQUIRE(ask(caller, "w1 WRITE item 1").starts_with("DONE proof-w1\r\nREADY T"));
+    REQUIRE(ask(caller, "c1 COMMIT").starts_with("DONE proof-c1\r\nREADY I"));
+    refuses_begin = true;
+    static_cast<void>(ask(caller, "b2 BEGIN"));
+    static_cast<void>(ask(caller, "w2 WRITE item 2"));
+    static_cast<void>(ask(caller, "x2 ROLLBACK"));
+    CHECK(std::ranges::none_of(system.model.answers, [](const session_tests::observed_answer& observed) {
+        return observed.requested.id == "w2" && observed.transaction == 0;
+    }));
+    CHECK_FALSE(session_tests::holds_write(system.model.primary(), "w2"));
+}
