Repeat late answers just before refusals in the soak, and slow instances down

- Answers that are repeated late come up to 0.4 s later, or just before the instance's next refusal on that connection.
- An instance that repeats answers also refuses statements in half of the cases, and is slow in half of them (its requests and answers are held up to 40 ms by turns).
- BUSY is drawn more often than LAGGING and FAILED, and an eighth of the statements is refused, so that transactions still get to their end.

--- a/tests/platform/wire_instance.cpp
+++ b/tests/platform/wire_instance.cpp
@@ -139,6 +139,9 @@
         asked.socket->finish();
         return;
     }
+    if (messages.starts_with("ERROR ")) {
+        asked.socket->write(std::exchange(asked.late_answers, {}));
+    }
     switch (this->repetition) {
         case answer_repetition::none:
             asked.socket->write(messages);
--- a/tests/soak/guarantee_checker.cpp
+++ b/tests/soak/guarantee_checker.cpp
@@ -191,7 +191,7 @@
         if (observed.transaction != 0) {
             this->add_violation(id, "ran inside a transaction, but its caller had sent it outside of one");
         } else if (!expected.empty()) {
-            this->add_violation(id, "ran outside its caller's transaction");
+            this->add_violation(id, "ran outside its caller's transaction: \"" + printable(known.sent.text) + "\"");
         }
         return;
     }
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -17,10 +17,14 @@
 constexpr millis replication_interval{8};
 constexpr unsigned unavailable = 503;
 /// Longest time between an answer and its repetition if that comes later.
-constexpr std::uint64_t max_late_ms = 60;
+constexpr std::uint64_t max_late_ms = 400;
+/// Longest time for which data of a slow instance is held before another choice is made.
+constexpr std::uint64_t max_delay_ms = 40;
 using repetition = platform_tests::answer_repetition;
 constexpr std::uint64_t repetition_count = 5;
-constexpr std::array refusal_codes{result_code::busy, result_code::lagging, result_code::failed};
+constexpr std::array refusal_codes{result_code::busy, result_code::busy, result_code::lagging, result_code::failed};
+/// An instance that refuses statements refuses one in this many.
+constexpr std::uint64_t refusal_interval = 8;
 
 /// Connections and slots of an instance for each caller.
 constexpr int connections_per_caller = 2;
@@ -221,16 +225,17 @@
             const auto span = this->random_span(500, 4000);
             this->stutters[id] = {way, now + span};
             what = id + " repeats answers, kind=" + std::to_string(static_cast<int>(way)) + " ms=" + std::to_string(span.count);
+            // Repetitions do most harm where an answer is awaited for long, and where that answer is a refusal.
+            what += this->random() % 2 == 0 ? ", " + this->start_delaying(id, now) : "";
+            what += this->random() % 2 == 0 ? ", " + this->start_refusing(id, now) : "";
             break;
         }
-        case fault::refuse_statements: {
-            const auto span = this->random_span(300, 3000);
-            this->refusing = this->random_instance();
-            this->refusal = refusal_codes[this->random() % refusal_codes.size()];
-            this->refusing_until = now + span;
-            what = this->refusing + " answers statements with " + to_string(this->refusal) + " ms=" + std::to_string(span.count);
+        case fault::refuse_statements:
+            what = this->start_refusing(this->random_instance(), now);
+            break;
+        case fault::slow_instance:
+            what = this->start_delaying(this->random_instance(), now);
             break;
-        }
         case fault::cut_answers: {
             const auto span = this->random_span(50, 500);
             this->cutting = this->random_instance();
@@ -262,6 +267,12 @@
     if (all || now >= this->refusing_until) {
         this->refusing.clear();
     }
+    if (!this->slow.empty() && (all || now >= this->slow_until)) {
+        if (!this->hold_ends.contains(&this->instance_proxy(this->slow))) {
+            this->instance_proxy(this->slow).release();
+        }
+        this->slow.clear();
+    }
     if (all || now >= this->cutting_until) {
         this->cutting.clear();
     }
@@ -284,13 +295,35 @@
             disturbed.repeat_late();
         }
     }
+    if (!this->slow.empty() && !this->hold_ends.contains(&this->instance_proxy(this->slow)) && now >= this->next_delay) {
+        this->instance_proxy(this->slow).hold(this->answer_choices() % 2 != 0, this->answer_choices() % 2 != 0);
+        this->next_delay = now + millis{static_cast<std::int64_t>(this->answer_choices() % max_delay_ms)};
+    }
     if (now >= this->next_late_answers) {
         this->next_late_answers = now + millis{static_cast<std::int64_t>(this->answer_choices() % max_late_ms)};
     }
 }
 
+std::string soak_platform::start_refusing(const endpoint_id& id, instant now) {
+    const auto span = this->random_span(300, 3000);
+    this->refusing = id;
+    this->refusal = refusal_codes[this->random() % refusal_codes.size()];
+    this->refusing_until = now + span;
+    return id + " answers statements with " + to_string(this->refusal) + " ms=" + std::to_string(span.count);
+}
+
+std::string soak_platform::start_delaying(const endpoint_id& id, instant now) {
+    const auto span = this->random_span(500, 4000);
+    if (!this->slow.empty() && !this->hold_ends.contains(&this->instance_proxy(this->slow))) {
+        this->instance_proxy(this->slow).release();
+    }
+    this->slow = id;
+    this->slow_until = now + span;
+    return id + " is slow ms=" + std::to_string(span.count);
+}
+
 std::optional<result_code> soak_platform::choose_refusal(const endpoint_id& id, const endpoint_statement& requested) {
-    if (id != this->refusing || this->answer_choices() % 4 != 0) {
+    if (id != this->refusing || this->answer_choices() % refusal_interval != 0) {
         return std::nullopt;
     }
     const bool is_statement = requested.command == endpoint_command::statement || requested.command == endpoint_command::execute;
--- a/tests/soak/soak_platform.hpp
+++ b/tests/soak/soak_platform.hpp
@@ -71,15 +71,19 @@
         reset_store,
         stutter,
         refuse_statements,
-        cut_answers
+        cut_answers,
+        slow_instance
     };
-    static constexpr std::uint64_t fault_count = 15;
+    static constexpr std::uint64_t fault_count = 16;
 
     void tick();
     void inject_fault(instant now);
     void end_faults(instant now, bool all);
     /// Lets an instance repeat or cut answers, as its faults say.
     void disturb_answers(instant now);
+    /// Let an instance refuse statements or delay all data for a random time. Return a text that says so.
+    std::string start_refusing(const endpoint_id& id, instant now);
+    std::string start_delaying(const endpoint_id& id, instant now);
     /// Chooses an error for a statement, or none. See `database_model::refuse`.
     std::optional<result_code> choose_refusal(const endpoint_id& id, const endpoint_statement& requested);
     void process_promotions(instant now);
@@ -92,7 +96,8 @@
     /// Holds back requests, answers or both until `until`. Returns a text that names what is held back.
     std::string hold(soak_proxy& proxy, instant until);
     endpoint_id random_instance() { return this->random() % 2 == 0 ? "db-0" : "db-1"; }
-    soak_proxy& random_instance_proxy() { return this->random() % 2 == 0 ? this->first_proxy : this->second_proxy; }
+    soak_proxy& instance_proxy(const endpoint_id& id) { return id == "db-0" ? this->first_proxy : this->second_proxy; }
+    soak_proxy& random_instance_proxy() { return this->instance_proxy(this->random_instance()); }
     soak_proxy& random_store_proxy() { return *this->store_proxies[this->random() % this->store_proxies.size()]; }
     soak_host& random_host(random_source& source) { return *this->hosts[source() % this->hosts.size()]; }
 
@@ -129,6 +134,9 @@
     endpoint_id refusing;
     result_code refusal = result_code::none;
     instant refusing_until;
+    endpoint_id slow;
+    instant slow_until;
+    instant next_delay;
     endpoint_id cutting;
     instant cutting_until;
     instant next_late_answers;
