--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_platform.hpp"
 
 #include <algorithm>
+#include <array>
 
 #include "links/run_main_loop.hpp"
 #include "platform/wire_words.hpp"
@@ -9,20 +10,33 @@
 
 namespace {
 
-constexpr int host_count = 4;
-constexpr int caller_count = 8;
 constexpr int ports_of_host = 4;
+constexpr int workspace_count = 2;
 /// Time between a promotion call and the change of primary at the platform.
 constexpr millis promotion_delay{300};
 constexpr millis replication_interval{8};
 constexpr unsigned unavailable = 503;
+/// Longest time between an answer and its repetition if that comes later.
+constexpr std::uint64_t max_late_ms = 400;
+/// Longest time for which data of a slow instance is held before another choice is made.
+constexpr std::uint64_t max_delay_ms = 40;
+using repetition = platform_tests::answer_repetition;
+constexpr std::uint64_t repetition_count = 5;
+constexpr std::array refusal_codes{result_code::busy, result_code::busy, result_code::lagging, result_code::failed};
+/// An instance that refuses statements refuses one in this many.
+constexpr std::uint64_t refusal_interval = 8;
+
+/// Connections and slots of an instance for each caller.
+constexpr int connections_per_caller = 2;
+constexpr int callers_per_slot = 4;
 
 const char* const document_text =
     R"({"Version":1,"Routes":[)"
     R"({"Name":"p","Host":"books-p","Kind":"primary","Service":"db","TimeoutMs":800,"TargetLatencyMs":300},)"
     R"({"Name":"r","Host":"books-r","Kind":"read_your_writes","Service":"db","TimeoutMs":800,"TargetLatencyMs":500,)"
-    R"("MaxStalenessMs":1500}],"Services":[{"Name":"db","MaxConnections":16}],)"
-    R"("Tenants":[{"Name":"soak","ApiKeys":["soak-key"],"RatePerS":5000,"Burst":5000}]})";
+    R"("MaxStalenessMs":1500}],"Services":[{"Name":"db","MaxConnections":@}],)"
+    R"("Tenants":[{"Name":"soak-0","ApiKeys":["key-0"],"RatePerS":5000,"Burst":5000},)"
+    R"({"Name":"soak-1","ApiKeys":["key-1"],"RatePerS":5000,"Burst":5000}]})";
 
 /// Returns the text of a string field in JSON text. The stand-in for the store records the bodies of promotion calls without
 /// parsing them.
@@ -35,19 +49,28 @@
 
 }  // namespace
 
-soak_platform::soak_platform(std::uint64_t seed, const std::string& program, const std::string& folder, int first_port)
-    : random(seed), caller_choices(seed) {
-    this->store.put("config", "main", document_text);
+soak_platform::soak_platform(const soak_config& config)
+    : random(config.seed), caller_choices(config.seed), answer_choices(config.seed), slots(config.callers / callers_per_slot) {
+    this->model.refuse = [this](const endpoint_id& id, const endpoint_statement& requested) {
+        return this->choose_refusal(id, requested);
+    };
+    std::string document = document_text;
+    document.replace(document.find('@'), 1, std::to_string(config.callers * connections_per_caller));
+    this->store.put("config", "main", document);
     this->publish_instances();
-    for (int i = 0; i < host_count; ++i) {
+    for (int i = 0; i < config.hosts; ++i) {
         this->store_proxies.push_back(std::make_unique<soak_proxy>(this->sockets, this->store.address()));
         this->hosts.push_back(std::make_unique<soak_host>(
-            soak_host_config{"front-" + std::to_string(i), i % 2 == 0 ? "amman-a" : "irbid-a", program, folder,
-                             this->store_proxies.back()->address(), first_port + i * ports_of_host}));
+            soak_host_config{"front-" + std::to_string(i), i % 2 == 0 ? "amman-a" : "irbid-a", config.program, config.folder,
+                             this->store_proxies.back()->address(), config.first_port + i * ports_of_host}));
     }
-    for (int i = 0; i < caller_count; ++i) {
-        this->callers.push_back(std::make_unique<soak_caller>(this->sockets, this->checker, "i" + std::to_string(i),
-                                                              i % 4 == 3 ? "books-r" : "books-p"));
+    for (int i = 0; i < config.callers; ++i) {
+        const auto workspace = std::to_string(i % workspace_count);
+        this->callers.push_back(std::make_unique<soak_caller>(
+            this->sockets, this->checker,
+            soak_caller_config{"i" + std::to_string(i), i % 4 == 3 ? "books-r" : "books-p", "key-" + workspace,
+                               "soak-" + workspace,
+                               config.seed * static_cast<std::uint64_t>(config.callers) + static_cast<std::uint64_t>(i)}));
     }
 }
 
@@ -76,17 +99,24 @@
     }
     // Two statements, because the first one may have been answered before the faults ended.
     constexpr std::size_t wanted = 2;
-    return tests::run_until(
+    const auto is_served = [&](std::size_t i) { return this->callers[i]->successes() >= before[i] + wanted; };
+    const bool all_served = tests::run_until(
         [&] {
             this->tick();
             for (std::size_t i = 0; i < before.size(); ++i) {
-                if (this->callers[i]->successes() < before[i] + wanted) {
+                if (!is_served(i)) {
                     return false;
                 }
             }
             return true;
         },
         limit);
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        if (!is_served(i)) {
+            this->unserved_callers.push_back(this->callers[i]->describe());
+        }
+    }
+    return all_served;
 }
 
 std::vector<std::string> soak_platform::violations() const {
@@ -104,6 +134,7 @@
     const auto now = this->time.now();
     this->checker.observe();
     this->process_promotions(now);
+    this->disturb_answers(now);
     if (now >= this->next_replication) {
         this->next_replication = now + replication_interval;
         this->model.replicate({});
@@ -117,7 +148,8 @@
 }
 
 void soak_platform::inject_fault(instant now) {
-    const auto kind = static_cast<fault>(this->random() % 12);
+    // Starts with answers that are repeated, so that also a short run has them.
+    const auto kind = this->fault_log.empty() ? fault::stutter : static_cast<fault>(this->random() % fault_count);
     std::string what;
     switch (kind) {
         case fault::kill_host: {
@@ -187,6 +219,30 @@
             this->random_store_proxy().reset_all();
             what = "reset a host's connections to the store";
             break;
+        case fault::stutter: {
+            const auto id = this->fault_log.empty() ? this->model.primary().entry.id : this->random_instance();
+            const auto way = static_cast<repetition>(this->random() % repetition_count);
+            const auto span = this->random_span(500, 4000);
+            this->stutters[id] = {way, now + span};
+            what = id + " repeats answers, kind=" + std::to_string(static_cast<int>(way)) + " ms=" + std::to_string(span.count);
+            // Repetitions do most harm where an answer is awaited for long, and where that answer is a refusal.
+            what += this->random() % 2 == 0 ? ", " + this->start_delaying(id, now) : "";
+            what += this->random() % 2 == 0 ? ", " + this->start_refusing(id, now) : "";
+            break;
+        }
+        case fault::refuse_statements:
+            what = this->start_refusing(this->random_instance(), now);
+            break;
+        case fault::slow_instance:
+            what = this->start_delaying(this->random_instance(), now);
+            break;
+        case fault::cut_answers: {
+            const auto span = this->random_span(50, 500);
+            this->cutting = this->random_instance();
+            this->cutting_until = now + span;
+            what = this->cutting + " cuts answers ms=" + std::to_string(span.count);
+            break;
+        }
     }
     this->fault_log.push_back("t=" + std::to_string(now.since_start) + " " + what);
 }
@@ -207,12 +263,78 @@
         }
         return over;
     });
+    std::erase_if(this->stutters, [&](const auto& item) { return all || now >= item.second.until; });
+    if (all || now >= this->refusing_until) {
+        this->refusing.clear();
+    }
+    if (!this->slow.empty() && (all || now >= this->slow_until)) {
+        if (!this->hold_ends.contains(&this->instance_proxy(this->slow))) {
+            this->instance_proxy(this->slow).release();
+        }
+        this->slow.clear();
+    }
+    if (all || now >= this->cutting_until) {
+        this->cutting.clear();
+    }
     if (!this->draining.empty() && (all || now >= this->draining_until)) {
         this->draining.clear();
         this->publish_instances();
     }
 }
 
+void soak_platform::disturb_answers(instant now) {
+    for (const auto& [id, known] : this->model.instances) {
+        auto& disturbed = this->instance(id);
+        disturbed.cuts_answers = this->cutting == id && this->answer_choices() % 4 == 0;
+        const auto found = this->stutters.find(id);
+        disturbed.repetition = found == this->stutters.end() ? repetition::none
+                               : found->second.kind == repetition::none
+                                   ? static_cast<repetition>(this->answer_choices() % repetition_count)
+                                   : found->second.kind;
+        if (now >= this->next_late_answers) {
+            disturbed.repeat_late();
+        }
+    }
+    if (!this->slow.empty() && !this->hold_ends.contains(&this->instance_proxy(this->slow)) && now >= this->next_delay) {
+        this->instance_proxy(this->slow).hold(this->answer_choices() % 2 != 0, this->answer_choices() % 2 != 0);
+        this->next_delay = now + millis{static_cast<std::int64_t>(this->answer_choices() % max_delay_ms)};
+    }
+    if (now >= this->next_late_answers) {
+        this->next_late_answers = now + millis{static_cast<std::int64_t>(this->answer_choices() % max_late_ms)};
+    }
+}
+
+std::string soak_platform::start_refusing(const endpoint_id& id, instant now) {
+    const auto span = this->random_span(300, 3000);
+    this->refusing = id;
+    this->refusal = refusal_codes[this->random() % refusal_codes.size()];
+    this->refusing_until = now + span;
+    return id + " answers statements with " + to_string(this->refusal) + " ms=" + std::to_string(span.count);
+}
+
+std::string soak_platform::start_delaying(const endpoint_id& id, instant now) {
+    const auto span = this->random_span(500, 4000);
+    if (!this->slow.empty() && !this->hold_ends.contains(&this->instance_proxy(this->slow))) {
+        this->instance_proxy(this->slow).release();
+    }
+    this->slow = id;
+    this->slow_until = now + span;
+    return id + " is slow ms=" + std::to_string(span.count);
+}
+
+std::optional<result_code> soak_platform::choose_refusal(const endpoint_id& id, const endpoint_statement& requested) {
+    if (id != this->refusing || this->answer_choices() % refusal_interval != 0) {
+        return std::nullopt;
+    }
+    const bool is_statement = requested.command == endpoint_command::statement || requested.command == endpoint_command::execute;
+    const bool is_begin = requested.command == endpoint_command::begin || requested.command == endpoint_command::begin_read_only;
+    const bool is_possible = this->refusal == result_code::failed ? is_statement
+                             : this->refusal == result_code::lagging
+                                 ? requested.after.has_value()
+                                 : is_statement || is_begin || requested.command == endpoint_command::status;
+    return is_possible ? std::optional(this->refusal) : std::nullopt;
+}
+
 std::string soak_platform::hold(soak_proxy& proxy, instant until) {
     const auto which = this->random() % 3;
     proxy.hold(which != 1, which != 0);
@@ -266,8 +388,8 @@
         this->store.put("servers", id,
                         R"({"Service":"db","Address":")" + (id == "db-0" ? this->first_proxy : this->second_proxy).address() +
                             R"(","Zone":")" + known.entry.location + R"(","State":")" +
-                            (this->draining == id ? "draining" : "ready") +
-                            R"(","Version":"v1","Slots":2,"ColdRemainingMs":0,"Sequence":1,"DatabaseRole":")" +
+                            (this->draining == id ? "draining" : "ready") + R"(","Version":"v1","Slots":)" +
+                            std::to_string(this->slots) + R"(,"ColdRemainingMs":0,"Sequence":1,"DatabaseRole":")" +
                             (is_primary ? "primary" : "replica") + R"("})");
     }
 }
