--- a/tests/platform/wire_instance.hpp
+++ b/tests/platform/wire_instance.hpp
@@ -17,9 +17,9 @@
     at_once,      ///< Directly after the first time.
     before_next,  ///< Before the answer to the next statement on the connection, so that the repeated one is read in its place.
     after_next,   ///< After the answer to the next statement.
+    later,        ///< When `repeat_late` is called, or just before the next refusal, for which it could be taken.
     cut_at_once,  ///< Directly after the first time, but only the rows.
     cut_before_next,  ///< Before the answer to the next statement, but only the rows.
-    later,            ///< When `repeat_late` is called, or just before the next refusal, for which it could be taken.
 };
 
 /// Stand-in for a database instance that speaks the platform's protocol over TCP on loopback.
