Leave half of an endpoint's connections to its owner's successor

Callers saw: after all hosts had lost power and started again, nearly every operation was refused for two to three seconds with "no slot or connection of the endpoint became free in time", although hosts served 0.2 s after their start.

Cause: owners open all but three of the connections that an endpoint takes.

Change: an owner uses half of the connections, or four for each statement that may be in flight if that is more.

--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -5,6 +5,7 @@
 
 #include "camphorstack/contracts/shares.hpp"
 #include "camphorstack/session_host/catalog_relay.hpp"
+#include "camphorstack/session_host/connection_shares.hpp"
 #include "camphorstack/session_host/endpoint_owners.hpp"
 #include "camphorstack/session_host/share_members.hpp"
 #include "camphorstack/support/errors.hpp"
@@ -321,7 +322,8 @@
         const auto owner = state.owners.find(id);
         const bool is_owner = owner != state.owners.end() && owner->second == settings.self.id;
         const auto all = connections_of(*state.catalog.content, entry.database);
-        const auto owned = static_cast<std::size_t>(std::max(1, all - settings.spare_connections));
+        const endpoint_capacity capacity{all, entry.slots, settings.executor.extra_in_flight};
+        const auto owned = owner_connection_limit(capacity, settings.spare_connections);
         shares[id] = {entry, is_owner ? owned : settings.direct_connections};
     }
     set_endpoints(state.executor, shares, now);
--- a/tests/session_fleet/session_fleet.cpp
+++ b/tests/session_fleet/session_fleet.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+/// Returns a connection id that is unique at an instance, as different hosts may use the same connection ids.
+connection_id number_at_instance(const host_id& host, connection_id connection) {
+    return connection + 1000000 * std::hash<std::string>{}(host) % 1000000007;
+}
+
 constexpr millis store_latency{4};
 constexpr millis caller_latency{3};
 constexpr millis data_centre_latency{1};
@@ -151,6 +156,14 @@
 }
 
 void session_fleet::kill_host(const host_id& id) {
+    this->end_host(id, millis{0});
+}
+
+void session_fleet::cut_power(const host_id& id) {
+    this->end_host(id, this->dark_connection_time);
+}
+
+void session_fleet::end_host(const host_id& id, millis connection_delay) {
     auto& killed = this->hosts.at(id);
     killed.alive = false;
     ++killed.process;
@@ -158,9 +171,16 @@
         if (item.first.first != id) {
             return false;
         }
-        database_model* owner = nullptr;
-        if (auto* instance = this->find_instance(item.second.endpoint, &owner); instance != nullptr) {
-            instance->connections.erase(item.first.second + 1000000 * std::hash<std::string>{}(id) % 1000000007);
+        const auto drop = [this, endpoint = item.second.endpoint, number = number_at_instance(id, item.first.second)] {
+            database_model* owner = nullptr;
+            if (auto* instance = this->find_instance(endpoint, &owner); instance != nullptr) {
+                instance->connections.erase(number);
+            }
+        };
+        if (connection_delay > millis{0}) {
+            this->after(connection_delay, drop);
+        } else {
+            drop();
         }
         return true;
     });
@@ -377,15 +397,6 @@
     }
 }
 
-namespace {
-
-/// Returns a connection id that is unique at an instance, as different hosts may use the same connection ids.
-connection_id number_at_instance(const host_id& host, connection_id connection) {
-    return connection + 1000000 * std::hash<std::string>{}(host) % 1000000007;
-}
-
-}  // namespace
-
 void session_fleet::carry_out(const host_id& host, const open_endpoint_connection& action) {
     database_model* owner = nullptr;
     auto* instance = this->find_instance(action.endpoint, &owner);
--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -78,6 +78,8 @@
     test_caller& caller(session_id session) { return this->callers.at(session); }
 
     void kill_host(const host_id& host);
+    /// Kills a host whose connections the instances notice only after `dark_connection_time`.
+    void cut_power(const host_id& host);
     void start_host(const host_id& host);
     void stop_host(const host_id& host);
     void kill_instance(const endpoint_id& endpoint);
@@ -108,6 +110,7 @@
     /// Instances send this share of their answers once more, up to `longest_repetition` later.
     int repeated_answers_percent = 0;
     millis longest_repetition{300};
+    millis dark_connection_time{3000};  ///< For how long instances hold connections of hosts that have lost power.
     int refused_statements_percent = 0;  ///< Share of statements outside of transactions that instances refuse as busy.
     bool repeats_answers = false;        ///< Answers between hosts arrive again later.
     bool cuts_reset = false;  ///< Endpoints behind a cut reset and refuse connections at once, instead of not answering.
@@ -134,6 +137,7 @@
         }
     };
 
+    void end_host(const host_id& host, millis connection_delay);
     void after(millis delay, std::function<void()> run);
     void deliver(const host_id& host, std::uint64_t process, session_host_event event);
     void deliver_after(millis delay, const host_id& host, session_host_event event);
