Close idle sessions of a stopping host only while its links are quick

Cause: the host closed its idle sessions at a fixed time, also while its link was full, for instance with a document that it was reading. Statements on their way were read after the close and dropped.

Change: a host that is about to close idle sessions reports every 50 ms, to the coordinator or, as the coordinator, to sampled peers. It closes idle sessions only within 150 ms after a report was sent that any host has answered, so what was sent to it earlier has arrived; while its link is slow it waits, at the latest until the process ends. A session that an answer leaves idle is closed with the answer, unless its caller sends ahead and the link is slow. A host without other members closes as before.

--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -18,6 +18,8 @@
 struct coordination_settings {
     /// Interval at which each host reports to the coordinator.
     millis report_interval{500};
+    /// Interval of the reports of a host that closes its idle sessions: a few within `session_entry_settings::close_window`.
+    millis closing_report_interval{50};
     /// Time without a report after which a host is unreachable: three missing reports. A broken link is noticed earlier.
     millis unreachable_after{1600};
     /// Time after which an unreachable host is removed from the member list; longer than network cuts that heal usually last.
@@ -147,6 +149,7 @@
     instant next_report;
     std::vector<endpoint_id> reported_suspects;           ///< Suspected endpoints in the last report.
     instant last_answered_report;                         ///< When the last report was sent that the coordinator answered.
+    instant last_heard_report;                            ///< When the last report was sent that any host answered.
     std::uint64_t next_sequence = 1;                      ///< Of the next report. A host starts at a random number.
     std::map<std::uint64_t, instant> unanswered_reports;  ///< When each report without an answer was sent, by its sequence.
     std::map<host_id, instant> peers_last_heard;          ///< When each peer other than the coordinator last answered a report.
--- a/src/camphorstack/coordination/coordinator_role.cpp
+++ b/src/camphorstack/coordination/coordinator_role.cpp
@@ -5,6 +5,7 @@
 #include "camphorstack/coordination/succession.hpp"
 #include "camphorstack/session_host/catalog_relay.hpp"
 #include "camphorstack/session_host/catalog_updates.hpp"
+#include "camphorstack/session_host/shutdown.hpp"
 
 namespace camphorstack {
 
@@ -101,23 +102,31 @@
     auto& coordination = state.coordination;
     auto report = make_report(state, now);
     const bool has_changed = report.suspected != coordination.reported_suspects;
+    const bool closes_sessions = closes_idle_sessions(state, now);
+    const auto interval = closes_sessions ? coordination.settings.closing_report_interval : coordination.settings.report_interval;
+    coordination.next_report = std::min(coordination.next_report, now + interval);
     if (!state.catalog.coordinator || (now < coordination.next_report && !has_changed)) {
         return;
     }
     coordination.reported_suspects = report.suspected;
-    coordination.next_report = now + coordination.settings.report_interval;
+    coordination.next_report = now + interval;
     const auto& coordinator = state.catalog.coordinator->record.host.id;
-    if (coordinator == state.settings.self.id) {
+    const bool is_coordinator = coordinator == state.settings.self.id;
+    if (is_coordinator) {
         receive_membership_report(state, coordinator, report, now);
-        return;
+        if (!closes_sessions) {
+            return;
+        }
     }
     report.sequence = coordination.next_sequence++;
     coordination.unanswered_reports[report.sequence] = now;
     while (coordination.unanswered_reports.size() > max_unanswered_reports) {
         coordination.unanswered_reports.erase(coordination.unanswered_reports.begin());
     }
-    send_peer(state, coordinator, report);
-    if (is_coordinator_silent(state, now)) {
+    if (!is_coordinator) {
+        send_peer(state, coordinator, report);
+    }
+    if (is_coordinator || is_coordinator_silent(state, now)) {
         for (const auto& id : sample_peers(listed_members(state), state.settings.self.id, coordinator)) {
             send_peer(state, id, report);
         }
@@ -235,6 +244,7 @@
     if (report == coordination.unanswered_reports.end()) {
         return;
     }
+    coordination.last_heard_report = std::max(coordination.last_heard_report, report->second);
     if (is_coordinator && answer.coordinates) {
         coordination.last_answered_report = std::max(coordination.last_answered_report, report->second);
     }
--- a/src/camphorstack/session_host/session_entry.cpp
+++ b/src/camphorstack/session_host/session_entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "camphorstack/session_host/operations.hpp"
@@ -114,6 +115,10 @@
     }
 }
 
+bool is_idle(const caller_session& session) {
+    return session.state == session_state::idle && !session.operation && session.waiting.empty();
+}
+
 /// Returns the reason for which a new session is refused; nothing if it is accepted.
 std::optional<access_refusal> reason_to_refuse(const session_host_state& state, const caller_session& session, instant now) {
     // A session accepted this late in a shutdown would be closed when the process exits.
@@ -155,6 +160,7 @@
         disconnect_session(state, session.id, now);
         return;
     }
+    session.sends_ahead = session.sends_ahead || session.operation.has_value();
     session.waiting.push_back(event.requested);
     advance_session(state, session, now);
 }
@@ -197,7 +203,7 @@
 void close_idle_sessions(session_host_state& state, instant now) {
     std::vector<session_id> idle;
     for (const auto& [id, session] : state.sessions) {
-        if (session.state == session_state::idle && !session.operation && session.waiting.empty()) {
+        if (is_idle(session)) {
             idle.push_back(id);
         }
     }
@@ -206,4 +212,18 @@
     }
 }
 
+void close_answered_sessions(session_host_state& state, bool may_have_sent_ahead, instant now) {
+    std::set<session_id> answered;
+    for (const auto& action : state.actions) {
+        const auto* answer = std::get_if<answer_statement>(&action);
+        const auto found = answer == nullptr ? state.sessions.end() : state.sessions.find(answer->session);
+        if (found != state.sessions.end() && is_idle(found->second) && (may_have_sent_ahead || !found->second.sends_ahead)) {
+            answered.insert(found->first);
+        }
+    }
+    for (const auto id : answered) {
+        disconnect_session(state, id, now);
+    }
+}
+
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_entry.hpp
+++ b/src/camphorstack/session_host/session_entry.hpp
@@ -43,4 +43,8 @@
 /// Closes the idle sessions of a host that shuts down.
 void close_idle_sessions(session_host_state& state, instant now);
 
+/// Closes the sessions that an answer of the current step leaves idle. Without `may_have_sent_ahead`, those of callers that send
+/// statements ahead are left open.
+void close_answered_sessions(session_host_state& state, bool may_have_sent_ahead, instant now);
+
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -327,6 +327,7 @@
 session_host_actions step(session_host_state& state, const session_host_event& event, instant now) {
     std::visit(session_event_visitor{state, now}, event);
     drain_executor(state, now);
+    close_sessions_after_answers(state, now);
     for (const auto& action : state.actions) {
         const auto* call = std::get_if<catalog_call>(&action);
         if (call != nullptr && call->operation != catalog_operation::decode) {
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -41,6 +41,9 @@
     millis reported_wait_lifetime{500};
     /// A host that shuts down closes its idle sessions after this time; the load balancer no longer sends callers by then.
     millis idle_session_grace{1500};
+    /// Idle sessions are closed only this soon after a report was sent that another host has answered: what was sent to this host
+    /// earlier than that, and the time of a path between regions, has arrived.
+    millis close_window{150};
     /// Limit on the statements that one caller may pipeline.
     std::size_t max_waiting_statements = 256;
 
--- a/src/camphorstack/session_host/shutdown.cpp
+++ b/src/camphorstack/session_host/shutdown.cpp
@@ -38,6 +38,13 @@
     return ids;
 }
 
+/// Returns true if another host has answered a report that was sent a moment ago, or if there is no other host.
+bool has_quick_links(const session_host_state& state, instant now) {
+    const bool is_alone =
+        std::ranges::all_of(listed_members(state), [&](const member& listed) { return listed.id == state.settings.self.id; });
+    return is_alone || now - state.coordination.last_heard_report <= state.settings.entry.close_window;
+}
+
 /// Answers the statements in flight and closes all sessions.
 void end_sessions(session_host_state& state, instant now) {
     for (const auto id : ids_of(state.sessions)) {
@@ -77,6 +84,16 @@
     return state.stopping && now - state.stop_requested_at >= idle_session_grace(state.settings);
 }
 
+bool closes_idle_sessions(const session_host_state& state, instant now) {
+    return !state.stopped && refuses_new_sessions(state, now + state.settings.entry.close_window);
+}
+
+void close_sessions_after_answers(session_host_state& state, instant now) {
+    if (refuses_new_sessions(state, now) && !state.stopped) {
+        close_answered_sessions(state, has_quick_links(state, now), now);
+    }
+}
+
 bool can_answer_before_end(const session_host_state& state, millis time_limit, instant now) {
     if (!state.stopping) {
         return true;
@@ -111,7 +128,7 @@
     if (!state.stopping || state.stopped) {
         return;
     }
-    if (refuses_new_sessions(state, now)) {
+    if (refuses_new_sessions(state, now) && has_quick_links(state, now)) {
         close_idle_sessions(state, now);
     }
     const bool drained = refuses_new_sessions(state, now) && state.sessions.empty() && count_open_work(state.executor) == 0;
--- a/src/camphorstack/sessions/caller_session.hpp
+++ b/src/camphorstack/sessions/caller_session.hpp
@@ -85,6 +85,7 @@
     instant written_at;
     std::optional<open_operation> operation;
     std::deque<statement> waiting;  ///< Statements that the caller has sent ahead, without waiting for the current one's answer.
+    bool sends_ahead = false;       ///< The caller has sent a statement before it had the answer to the one before.
     instant last_used;
 };
 
--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -48,6 +48,7 @@
     host_id host;
     bool accepted = false;
     bool closed = false;
+    instant closed_at;  ///< When the host closed the session.
     std::optional<result_code> rejected;
     std::map<std::string, instant> asked;  ///< Send time of each statement without an answer, by id.
     std::vector<std::string> order;        ///< Ids of the statements without an answer, in the order of sending.
@@ -105,6 +106,7 @@
     std::set<endpoint_id> lagging;  ///< Instances that do not replicate.
     std::vector<std::string> log;   ///< Decision log: "TIME HOST KIND TEXT" for each entry.
     bool store_is_down = false;
+    std::map<host_id, millis> link_delays;  ///< Extra delay of everything that is sent to a host, except by instances.
     /// Instances send this share of their answers once more, up to `longest_repetition` later.
     int repeated_answers_percent = 0;
     millis longest_repetition{300};
@@ -142,6 +144,7 @@
     void replicate_all();
     void refresh_entries();
     millis delay_between(const std::string& a, const std::string& b) const;
+    [[nodiscard]] millis link_delay(const host_id& host) const;
     session_host_settings settings_of(const host_id& host) const;
     instance_model* find_instance(const endpoint_id& endpoint, database_model** owner);
 
--- a/tests/session_fleet/shutdown.tests.cpp
+++ b/tests/session_fleet/shutdown.tests.cpp
@@ -10,6 +10,8 @@
 
 constexpr millis start_time{5000};
 constexpr std::size_t statements_of_transaction = 12;
+/// A request that was sent at most this long before its session's end may stay without an answer.
+constexpr millis loss_slack{200};
 
 /// A caller that runs one transaction with pauses between its statements and ends it at the first error.
 struct paced_transaction {
@@ -190,3 +192,49 @@
     }
     CHECK(done > 0);
 }
+
+// Guards against requests that are on their way over a full link when a host closes its idle sessions: they would be read after
+// the close and never answered.
+TEST_CASE("a host that shuts down closes no idle session while requests to it are on their way for long",
+          "[session-fleet][stop]") {
+    const auto coordinates = GENERATE(false, true);
+    const auto delay = GENERATE(millis{0}, millis{250}, millis{400});
+    const auto full_from = GENERATE(millis{900}, millis{1300}, millis{1450});
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    const auto coordinator = fleet.host("host-3").catalog.coordinator->record.host.id;
+    const auto host = coordinates ? coordinator : coordinator == "host-3" ? host_id("host-4") : host_id("host-3");
+    CAPTURE(host, coordinates, delay.count, full_from.count);
+    std::vector<session_id> sessions;
+    for (int i = 0; i < 40; ++i) {
+        sessions.push_back(fleet.open_session(host, consistency::primary));
+    }
+    const auto send_each = [&](int round) {
+        const auto id = "r" + std::to_string(round) + "-" + std::to_string(sessions.size());
+        const auto session = sessions.at(static_cast<std::size_t>(round) % sessions.size());
+        if (!fleet.caller(session).closed && fleet.caller(session).order.empty()) {
+            fleet.send(session, read_statement(id, "item"));
+        }
+    };
+    fleet.stop_host(host);
+    const auto stopped = fleet.now();
+    constexpr millis full_time{600};
+    for (int round = 0; fleet.now() - stopped < millis{5200}; ++round) {
+        const auto spent = fleet.now() - stopped;
+        // The queue of a link that is no longer full drains; nothing overtakes what waits in it.
+        const auto drained = std::max(millis{0}, std::min(delay, full_from + full_time + delay - spent));
+        fleet.link_delays[host] = spent >= full_from ? drained : millis{0};
+        send_each(round);
+        fleet.run_for(millis{5});
+    }
+    for (const auto session : sessions) {
+        const auto& caller = fleet.caller(session);
+        CHECK(caller.closed);
+        // Once the link is free again, sessions do not stay open for long.
+        CHECK(caller.closed_at - stopped < full_from + full_time + delay + millis{700});
+        for (const auto& id : caller.order) {
+            CAPTURE(id, (caller.asked.at(id) - stopped).count, (caller.closed_at - stopped).count);
+            CHECK(caller.closed_at - caller.asked.at(id) < loss_slack);
+        }
+    }
+}
