Report a message that a full link did not take before the link's end

Callers could see: a write "in doubt" whose message to the endpoint's owner never left its host, because the output of the link was full.

Cause: the link's end was reported first, and a run whose link breaks counts as lost; the report that it was not sent came too late.

Change: the message is reported as not sent first, so the run counts as not run and may be tried elsewhere.

Evidence: tests/links/peer_links.tests.cpp, "a peer that does not read is disconnected when its output buffer is full", failed with the former order (position 2 < 1) and passes; [peer-links] passed, 14 cases.

--- a/src/camphorstack/links/peer_links.cpp
+++ b/src/camphorstack/links/peer_links.cpp
@@ -217,8 +217,9 @@
     if (entry.link->is_ready()) {
         entry.last_used_at = this->time.now();
         if (!this->send_on(entry, bytes)) {
-            entry.link->end(link_close_reason::overflow);
+            // Reported before the broken link: runs whose link broke count as lost, and this one was not sent for certain.
             this->emit(peer_not_sent{action.peer, action.message.body});
+            entry.link->end(link_close_reason::overflow);
         }
     } else if (entry.waiting.size() < this->limits.max_waiting_messages) {
         entry.waiting.push_back({action.message.body, std::move(bytes)});
--- a/tests/links/peer_links.tests.cpp
+++ b/tests/links/peer_links.tests.cpp
@@ -205,6 +205,11 @@
         a.send("b", slow.address, large);
     }
     CHECK(a.links.counters().overflowed == 1);
+    // The message that found no room is reported before the broken link, after which runs count as lost.
+    REQUIRE(run_until([&] { return !a.all<peer_disconnected>().empty() && !a.all<peer_not_sent>().empty(); }));
+    const auto position = [&](auto is_wanted) { return std::ranges::find_if(a.events, is_wanted) - a.events.begin(); };
+    CHECK(position([](const host_event& event) { return std::holds_alternative<peer_not_sent>(event); }) <
+          position([](const host_event& event) { return std::holds_alternative<peer_disconnected>(event); }));
     CHECK(run_until([&] { return a.all<peer_disconnected>().size() == 1; }));
     close(connection);
 }
