--- a/tests/soak/soak_host.cpp
+++ b/tests/soak/soak_host.cpp
@@ -20,7 +20,8 @@
            "\nreadiness_address: " + address_of(config.first_port + 2) +
            "\nmetrics_address: " + address_of(config.first_port + 3) + "\nstore_address: " + config.store_address +
            "\npromotion_address: " + config.store_address +
-           "\nfleet_secret: the-secret-of-the-soak\nstop_grace: 3s\ndata_centres:\n  amman-a: amman\n  irbid-a: irbid\n";
+           "\nfleet_secret: the-secret-of-the-soak\nstop_grace: 3s\ndata_centres:\n  amman-a: amman\n  irbid-a: irbid\n" +
+           config.more_settings;
 }
 
 /// Throws if the port is in use. If two soak runs used the same ports, their callers would connect to each other's hosts.
@@ -100,6 +101,10 @@
     return address_of(this->config.first_port + 1);
 }
 
+std::string soak_host::process_folder() const {
+    return this->is_running() ? std::string("/proc/") + g_subprocess_get_identifier(this->process.get()) : std::string();
+}
+
 bool soak_host::is_running() const {
     return this->process && g_subprocess_get_identifier(this->process.get()) != nullptr;
 }
--- a/tests/soak/soak_host.hpp
+++ b/tests/soak/soak_host.hpp
@@ -17,7 +17,8 @@
     std::string program;
     std::string folder;
     std::string store_address;
-    int first_port = 0;  ///< First of four consecutive ports: peers, callers, readiness, metrics.
+    int first_port = 0;         ///< First of four consecutive ports: peers, callers, readiness, metrics.
+    std::string more_settings;  ///< Further lines of the settings file, each with its line end.
 
     friend bool operator==(const soak_host_config&, const soak_host_config&) = default;
 };
@@ -45,6 +46,8 @@
     [[nodiscard]] const std::string& id() const { return this->config.id; }
     [[nodiscard]] std::string callers_address() const;
     [[nodiscard]] bool is_paused() const { return this->paused_until.has_value(); }
+    /// Returns the folder of the running process below /proc; empty if it is not running.
+    [[nodiscard]] std::string process_folder() const;
     [[nodiscard]] int unexpected_ends() const { return this->unexpected_end_count; }
 
 private:
--- a/tests/soak/soak_platform.cpp
+++ b/tests/soak/soak_platform.cpp
@@ -61,9 +61,13 @@
     this->publish_instances();
     for (int i = 0; i < config.hosts; ++i) {
         this->store_proxies.push_back(std::make_unique<soak_proxy>(this->sockets, this->store.address()));
-        this->hosts.push_back(std::make_unique<soak_host>(
-            soak_host_config{"front-" + std::to_string(i), i % 2 == 0 ? "amman-a" : "irbid-a", config.program, config.folder,
-                             this->store_proxies.back()->address(), config.first_port + i * ports_of_host}));
+        this->hosts.push_back(std::make_unique<soak_host>(soak_host_config{"front-" + std::to_string(i),
+                                                                           i % 2 == 0 ? "amman-a" : "irbid-a",
+                                                                           config.program,
+                                                                           config.folder,
+                                                                           this->store_proxies.back()->address(),
+                                                                           config.first_port + i * ports_of_host,
+                                                                           {}}));
     }
     for (int i = 0; i < config.callers; ++i) {
         const auto workspace = std::to_string(i % workspace_count);
