Keep a host within its memory and descriptors whatever its callers send

What callers saw: some of them could make a host hold any amount of memory, by sending ahead, stopping half-way, or storing values and shapes; the machine then ends the process for all. Cause: nothing bounded what callers hold.

Change: an account of the memory that callers may use (links/memory_account), from memory_limit. A caller's next message is handed on after the answer to the one before; long messages need room; the slowest, the greediest and those that take no answers are closed; connections are bounded by descriptor_limit. Each closing is logged (caller_closed) and counted by reason. Large blocks go back to the system.

--- a/src/camphorstack/cli/serve_sessions.cpp
+++ b/src/camphorstack/cli/serve_sessions.cpp
@@ -4,6 +4,7 @@
 #include <absl/flags/flag.h>
 #include <glib-unix.h>
 #include <glog/logging.h>
+#include <malloc.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -25,6 +26,9 @@
 
 namespace {
 
+/// Blocks of this size are mapped one by one, and so much free memory at the end of the heap is given back.
+constexpr int mapped_block_bytes = 128 * 1024;
+
 random_source seeded_random() {
     std::random_device device;
     std::seed_seq seed{device(), device(), device(), device()};
@@ -133,6 +137,9 @@
     }
     // Writing to a connection that the peer has closed returns an error; the signal would end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // Large buffers go back to the system when they are freed; without a fixed threshold the allocator keeps ever larger ones.
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+    mallopt(M_TRIM_THRESHOLD, mapped_block_bytes);
     const auto text = read_file(file);
     auto settings = parse_session_settings(text, file);
     settings.host.nonce = make_nonce();
--- a/src/camphorstack/links/line_socket.cpp
+++ b/src/camphorstack/links/line_socket.cpp
@@ -65,6 +65,81 @@
     this->watcher.add(g_socket_get_fd(raw), [this](fd_readiness ready) { this->on_ready(ready); });
 }
 
+void line_socket::charge_to(memory_account& account) {
+    this->charged = &account;
+    this->update_charges();
+}
+
+void line_socket::update_charges() {
+    if (this->charged == nullptr) {
+        return;
+    }
+    const auto input_charge =
+        this->input.size() < small_input_bytes ? this->input.size() : std::max(this->input.size(), this->reserved_input);
+    change_charge(*this->charged, memory_part::input, this->charged_input, input_charge);
+    change_charge(*this->charged, memory_part::output, this->charged_output, this->output.size());
+    this->charged_input = input_charge;
+    this->reserved_input = this->input.size() < small_input_bytes ? 0 : this->reserved_input;
+    this->charged_output = this->output.size();
+}
+
+void line_socket::release_lines() {
+    this->holds_lines = false;
+    if (this->current != phase::open) {
+        return;
+    }
+    this->deliver_lines();
+    this->retry_reading();
+}
+
+void line_socket::retry_reading() {
+    if (this->current == phase::open && this->is_reading_stopped && this->may_read()) {
+        this->is_reading_stopped = false;
+        this->watcher.watch_readable(g_socket_get_fd(this->socket.get()), true);
+    }
+}
+
+/// Returns false if the socket must not read on now.
+bool line_socket::may_read() {
+    this->is_waiting_for_room = false;
+    if (this->current != phase::open || this->input.size() < small_input_bytes) {
+        return true;
+    }
+    if (this->holds_lines) {
+        return false;
+    }
+    if (this->charged == nullptr || this->reserved_input != 0) {
+        return true;
+    }
+    // Room for the whole line is taken at once: lines that each wait for the rest of their room would wait for one another.
+    const bool is_alone = this->charged_input == used_memory(*this->charged, memory_part::input);
+    if (!is_alone && !has_room(*this->charged, memory_part::input, this->bounds.max_line_bytes)) {
+        this->is_waiting_for_room = true;
+        return false;
+    }
+    this->reserved_input = this->bounds.max_line_bytes;
+    this->update_charges();
+    return true;
+}
+
+void line_socket::stop_reading() {
+    this->is_reading_stopped = true;
+    this->watcher.watch_readable(g_socket_get_fd(this->socket.get()), false);
+}
+
+/// Gives the memory of the buffers back, which are not used any more.
+void line_socket::release_buffers() {
+    if (!this->is_delivering) {
+        this->input = std::string();
+        this->scanned = 0;
+    }
+    if (this->current == phase::closed) {
+        this->output = std::string();
+        this->written = 0;
+    }
+    this->update_charges();
+}
+
 void line_socket::write(std::string_view text) {
     if (this->current != phase::open && this->current != phase::connecting) {
         return;
@@ -73,6 +148,7 @@
     if (this->current == phase::open) {
         this->flush();
     }
+    this->update_charges();
 }
 
 void line_socket::flush() {
@@ -89,9 +165,14 @@
             return;
         }
         this->written += static_cast<std::size_t>(sent);
+        this->sent_total += static_cast<std::uint64_t>(sent);
     }
     this->output.clear();
+    if (this->output.capacity() > small_input_bytes) {
+        this->output = std::string();
+    }
     this->written = 0;
+    this->update_charges();
     this->watcher.watch_writable(g_socket_get_fd(this->socket.get()), false);
     if (this->current == phase::finishing && !this->is_half_closed) {
         this->is_half_closed = true;
@@ -107,6 +188,7 @@
     this->linger_timer.reset();
     this->watcher.remove(g_socket_get_fd(this->socket.get()));
     g_socket_close(this->socket.get(), nullptr);
+    this->release_buffers();
 }
 
 void line_socket::finish() {
@@ -115,6 +197,11 @@
         return;
     }
     this->current = phase::finishing;
+    this->release_buffers();
+    if (this->is_reading_stopped) {
+        this->is_reading_stopped = false;
+        this->watcher.watch_readable(g_socket_get_fd(this->socket.get()), true);
+    }
     const auto on_linger = +[](gpointer self) -> gboolean {
         auto* const finished = static_cast<line_socket*>(self);
         finished->linger_timer.release();
@@ -134,9 +221,17 @@
     }
     if (ready.writable && this->is_open()) {
         this->flush();
+        if (this->current == phase::open && this->output.empty() && this->notify.drained) {
+            this->notify.drained();
+        }
     }
     if (ready.readable && this->is_open()) {
-        this->read_available();
+        // While reading is stopped, only an error or the end of both directions is reported.
+        if (this->is_reading_stopped) {
+            this->fail(line_socket_close_reason::failed);
+        } else {
+            this->read_available();
+        }
     }
     if (this->output.size() - this->written > this->bounds.max_output_bytes) {
         this->fail(line_socket_close_reason::oversized);
@@ -163,6 +258,10 @@
 void line_socket::read_available() {
     std::array<char, read_chunk_bytes> chunk;  // NOLINT(cppcoreguidelines-pro-type-member-init): filled by g_socket_receive.
     for (int turn = 0; turn < chunks_per_turn && this->is_open(); ++turn) {
+        if (!this->may_read()) {
+            this->stop_reading();
+            return;
+        }
         GError* raw = nullptr;
         const gssize count = g_socket_receive(this->socket.get(), chunk.data(), chunk.size(), nullptr, &raw);
         const g_error_pointer failure(raw);
@@ -176,6 +275,11 @@
         if (this->current == phase::finishing) {
             continue;
         }
+        if (this->input.size() + static_cast<std::size_t>(count) > this->input.capacity() &&
+            this->input.size() >= small_input_bytes) {
+            // Growing in steps would copy a large line several times. Pages that are not written take no memory.
+            this->input.reserve(this->bounds.max_line_bytes + small_input_bytes);
+        }
         this->input.append(chunk.data(), static_cast<std::size_t>(count));
         this->deliver_lines();
         if (static_cast<std::size_t>(count) < chunk.size()) {
@@ -186,21 +290,41 @@
 
 void line_socket::deliver_lines() {
     std::size_t consumed = 0;
-    while (this->current == phase::open) {
+    this->is_delivering = true;
+    while (this->current == phase::open && !this->holds_lines) {
         const auto end = this->input.find(line_end, std::max(consumed, this->scanned));
         if (end == std::string::npos) {
             break;
         }
         const auto line = std::string_view(this->input).substr(consumed, end - consumed);
+        if (line.size() <= this->bounds.max_line_bytes && this->notify.may_deliver && !this->notify.may_deliver(line.size())) {
+            this->holds_lines = true;
+            break;
+        }
         consumed = end + line_end.size();
         this->scanned = consumed;
         if (line.size() > this->bounds.max_line_bytes) {
+            this->is_delivering = false;
             this->fail(line_socket_close_reason::oversized);
             return;
         }
         this->notify.line(line);
     }
+    this->is_delivering = false;
+    if (this->current != phase::open) {
+        this->release_buffers();
+        return;
+    }
     this->input.erase(0, consumed);
+    if (this->input.capacity() > small_input_bytes * 2 && this->input.size() <= small_input_bytes) {
+        this->input = std::string(this->input.data(), this->input.size());
+    }
+    this->update_charges();
+    if (this->holds_lines) {
+        // The lines are searched again once they may be passed on.
+        this->scanned = 0;
+        return;
+    }
     // The CR of a line end may arrive before its LF.
     const bool ends_with_cr = this->input.ends_with(line_end.front());
     this->scanned = this->input.size() - (ends_with_cr ? 1 : 0);
--- a/src/camphorstack/links/line_socket.hpp
+++ b/src/camphorstack/links/line_socket.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "camphorstack/links/memory_account.hpp"
 #include "camphorstack/support/clock.hpp"
 #include "camphorstack/support/fd_watcher.hpp"
 #include "camphorstack/support/g_pointer.hpp"
@@ -27,6 +28,9 @@
         std::function<void()> connected;
         std::function<void(std::string_view)> line;           ///< Without its line end. The view is valid during the call only.
         std::function<void(line_socket_close_reason)> ended;  ///< Called at most once, and not after `close` or `finish`.
+        /// If set, asked before a line is passed on; after false the socket holds its lines until `release_lines`.
+        std::function<bool(std::size_t)> may_deliver = nullptr;
+        std::function<void()> drained = nullptr;  ///< All output has been sent, after some had to wait.
     };
 
     struct limits {
@@ -48,6 +52,17 @@
     line_socket& operator=(line_socket&&) = delete;
     ~line_socket();
 
+    /// Charges the input and output buffers to `account`, which must outlive the socket. Unfinished lines above
+    /// `small_input_bytes` are read only while the account has room for them; see `waits_for_room`.
+    void charge_to(memory_account& account);
+    /// Passes no more lines on until `release_lines`, and reads no further than `small_input_bytes` ahead. Allowed inside
+    /// callbacks.
+    void hold_lines() { this->holds_lines = true; }
+    /// Passes on the lines that were held and reads on. Must not be called inside a callback.
+    void release_lines();
+    /// Reads on if the socket waits for room. Must not be called inside a callback.
+    void retry_reading();
+
     /// Sends `text`, which must consist of complete lines. The main loop sends what the kernel does not accept now.
     void write(std::string_view text);
     /// Closes the connection at once. No callback follows. Allowed inside a callback, unlike destroying the object.
@@ -56,6 +71,20 @@
     /// Closing at once with unread input would reset the connection before the last answer has arrived. No callback follows.
     void finish();
 
+    /// Returns true if the socket does not read on because the account has no room.
+    [[nodiscard]] bool waits_for_room() const { return this->is_waiting_for_room; }
+    /// Returns true if bytes were received that are not passed on yet.
+    [[nodiscard]] bool has_input() const { return !this->input.empty() || this->is_reading_stopped; }
+    [[nodiscard]] bool is_holding_lines() const { return this->holds_lines; }
+    [[nodiscard]] std::size_t input_bytes() const { return this->input.size(); }
+    /// Returns the number of bytes that the kernel has not accepted yet.
+    [[nodiscard]] std::size_t output_bytes() const { return this->output.size() - this->written; }
+    /// Number of bytes that the kernel has accepted so far.
+    [[nodiscard]] std::uint64_t sent_bytes() const { return this->sent_total; }
+
+    /// Input of this size is read without asking the account. Large buffers are given back once they hold less.
+    static constexpr std::size_t small_input_bytes = std::size_t{64} * 1024;
+
     [[nodiscard]] bool is_open() const { return this->current != phase::closed; }
     /// True from the call of `finish` until the connection is closed.
     [[nodiscard]] bool is_finishing() const { return this->current == phase::finishing; }
@@ -69,6 +98,10 @@
     void read_available();
     void deliver_lines();
     void flush();
+    [[nodiscard]] bool may_read();
+    void stop_reading();
+    void release_buffers();
+    void update_charges();
     void fail(line_socket_close_reason cause);
 
     fd_watcher& watcher;
@@ -80,6 +113,15 @@
     std::size_t scanned = 0;  ///< Bytes at the front of `input` that are known to hold no line end.
     std::string output;
     std::size_t written = 0;  ///< Bytes of `output` that the kernel has accepted.
+    std::uint64_t sent_total = 0;
+    memory_account* charged = nullptr;
+    std::size_t charged_input = 0;
+    std::size_t reserved_input = 0;  ///< Charged in place of `input.size()` while a long line arrives.
+    std::size_t charged_output = 0;
+    bool holds_lines = false;
+    bool is_reading_stopped = false;
+    bool is_waiting_for_room = false;
+    bool is_delivering = false;
     bool is_half_closed = false;
     g_source_handle linger_timer;
 };
--- a/src/camphorstack/session_host/session_entry.cpp
+++ b/src/camphorstack/session_host/session_entry.cpp
@@ -22,6 +22,45 @@
     }
 }
 
+/// Charges `after` bytes in place of `before` to the session.
+void change_held_bytes(session_host_state& state, caller_session& session, std::size_t before, std::size_t after) {
+    session.held_bytes = session.held_bytes - before + after;
+    state.session_bytes = state.session_bytes - before + after;
+}
+
+std::size_t bytes_of_value(const caller_session& session, const std::string& name) {
+    const auto place = std::ranges::lower_bound(session.values, name, {}, &session_value::name);
+    return place != session.values.end() && place->name == name ? name.size() + place->value.size() : 0;
+}
+
+std::size_t bytes_of_shape(const caller_session& session, const std::string& name) {
+    const auto found = session.prepared.find(name);
+    return found == session.prepared.end() ? 0 : name.size() + found->second.shape.size();
+}
+
+/// Stores a session value or a prepared shape. Fails the statement if the session would hold too much.
+void store_in_session(session_host_state& state, caller_session& session, const statement& requested, instant now) {
+    const bool is_value = requested.kind == statement_kind::set_value;
+    const auto before = is_value ? bytes_of_value(session, requested.name) : bytes_of_shape(session, requested.name);
+    const auto after = requested.name.size() + requested.argument.size();
+    if (after > before && session.held_bytes - before + after > state.settings.entry.session_state_limit) {
+        ++state.refused_messages[result_code::too_large];
+        log_decision(state, "statement_refused",
+                     "request=" + log_value(requested.id) + " database=" + log_value(session.database) +
+                         " code=too_large held_bytes=" + std::to_string(session.held_bytes),
+                     true);
+        fail_statement(state, session, result_code::too_large, "the session holds too many values and prepared statements", now);
+        return;
+    }
+    change_held_bytes(state, session, before, after);
+    if (is_value) {
+        set_value(session, requested);
+    } else {
+        session.prepared[requested.name] = {requested.argument, requested.writes};
+    }
+    answer_done(state, session);
+}
+
 void begin_transaction(session_host_state& state, caller_session& session, const statement& requested, instant now) {
     if (session.state != session_state::idle) {
         answer_error(state, session, result_code::malformed, "a transaction is open already");
@@ -69,14 +108,11 @@
     }
     switch (requested.kind) {
         case statement_kind::set_value:
-            set_value(session, requested);
-            answer_done(state, session);
-            break;
         case statement_kind::prepare:
-            session.prepared[requested.name] = {requested.argument, requested.writes};
-            answer_done(state, session);
+            store_in_session(state, session, requested, now);
             break;
         case statement_kind::deallocate:
+            change_held_bytes(state, session, bytes_of_shape(session, requested.name), 0);
             if (session.prepared.erase(requested.name) == 0) {
                 fail_statement(state, session, result_code::no_statement, "no prepared statement has this name", now);
             } else {
@@ -114,6 +150,17 @@
     }
 }
 
+/// Closes the sessions that hold the most values and shapes until all together are below their limit.
+void close_greediest_sessions(session_host_state& state, instant now) {
+    while (state.session_bytes > state.settings.entry.all_session_state_limit) {
+        const auto greediest =
+            std::ranges::max_element(state.sessions, {}, [](const auto& item) { return item.second.held_bytes; });
+        const auto bytes = greediest->second.held_bytes;
+        record_closed_caller(state, {greediest->first, caller_close_reason::session_values, "", bytes});
+        disconnect_session(state, greediest->first, now);
+    }
+}
+
 /// Returns the reason for which a new session is refused; nothing if it is accepted.
 std::optional<access_refusal> reason_to_refuse(const session_host_state& state, const caller_session& session, instant now) {
     // A session accepted this late in a shutdown would be closed when the process exits.
@@ -157,6 +204,7 @@
     }
     session.waiting.push_back(event.requested);
     advance_session(state, session, now);
+    close_greediest_sessions(state, now);
 }
 
 void advance_session(session_host_state& state, caller_session& session, instant now) {
@@ -167,6 +215,18 @@
     }
 }
 
+void record_closed_caller(session_host_state& state, const caller_closed& event) {
+    ++state.closed_callers[event.reason];
+    std::string text = "session=" + std::to_string(event.session) + " caller=" + log_value(event.address) +
+                       " reason=" + to_string(event.reason) + " bytes=" + std::to_string(event.bytes);
+    if (const auto found = state.sessions.find(event.session); found != state.sessions.end()) {
+        const auto key = state.catalog.workspace_by_key.find(found->second.key_sha256);
+        text += " workspace=" + log_value(key == state.catalog.workspace_by_key.end() ? "" : key->second) +
+                " database=" + log_value(found->second.database);
+    }
+    log_decision(state, "caller_closed", std::move(text), true);
+}
+
 void record_refused_message(session_host_state& state, const message_refused& event) {
     ++state.refused_messages[event.code];
     log_decision(state, "message_refused",
@@ -186,6 +246,7 @@
         state.runs.erase(session.operation->run);
     }
     state.waiting_sessions.erase(session.id);
+    state.session_bytes -= session.held_bytes;
     state.sessions.erase(found);
 }
 
--- a/src/camphorstack/session_host/session_entry.hpp
+++ b/src/camphorstack/session_host/session_entry.hpp
@@ -14,6 +14,9 @@
 /// Logs and counts a message that the callers' link did not understand.
 void record_refused_message(session_host_state& state, const message_refused& event);
 
+/// Logs and counts a caller that was closed to keep the process within its limits.
+void record_closed_caller(session_host_state& state, const caller_closed& event);
+
 /// Ends a session and its transaction.
 void receive_session_ended(session_host_state& state, const session_ended& event, instant now);
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -231,6 +231,7 @@
     }
     void operator()(const session_requested& event) const { receive_session(this->state, event, this->now); }
     void operator()(const statement_received& event) const { receive_statement(this->state, event, this->now); }
+    void operator()(const caller_closed& event) const { record_closed_caller(this->state, event); }
     void operator()(const message_refused& event) const { record_refused_message(this->state, event); }
     void operator()(const session_ended& event) const { receive_session_ended(this->state, event, this->now); }
     void operator()(const endpoint_connection_opened& event) const {
@@ -388,6 +389,13 @@
     for (const auto& [code, count] : state.refused_messages) {
         out << "camphorstack_refused_messages_total{code=\"" << to_string(code) << "\"} " << count << '\n';
     }
+    out << "# HELP camphorstack_closed_callers_total Callers closed or refused to keep the process within its limits.\n"
+        << "# TYPE camphorstack_closed_callers_total counter\n";
+    for (const auto& [reason, count] : state.closed_callers) {
+        out << "camphorstack_closed_callers_total{reason=\"" << to_string(reason) << "\"} " << count << '\n';
+    }
+    out << "# HELP camphorstack_session_bytes Session values and prepared shapes of all sessions.\n"
+        << "# TYPE camphorstack_session_bytes gauge\ncamphorstack_session_bytes " << state.session_bytes << '\n';
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
--- a/src/camphorstack/session_host/session_host_events.hpp
+++ b/src/camphorstack/session_host/session_host_events.hpp
@@ -26,7 +26,7 @@
 
 /// Input of a session host.
 using session_host_event = std::variant<tick, settings_changed, session_requested, statement_received, message_refused,
-                                        session_ended, endpoint_connection_opened, endpoint_connection_ended,
+                                        caller_closed, session_ended, endpoint_connection_opened, endpoint_connection_ended,
                                         endpoint_reply_received, catalog_answer_begun, catalog_answer, promotion_answer,
                                         peer_message, peer_connected, peer_disconnected, peer_not_sent, stop_requested>;
 
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -41,6 +41,10 @@
     millis reported_wait_lifetime{500};
     /// A host that shuts down closes its idle sessions after this time; the load balancer no longer sends callers by then.
     millis idle_session_grace{1500};
+    /// Values and prepared shapes of one session, in bytes: four messages of the largest size.
+    std::size_t session_state_limit = std::size_t{4} * 1024 * 1024;
+    /// Values and prepared shapes of all sessions, in bytes. The session with the most is closed above it.
+    std::size_t all_session_state_limit = std::size_t{120} * 1024 * 1024;
     /// Limit on the statements that one caller may pipeline.
     std::size_t max_waiting_statements = 256;
 
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -102,6 +102,8 @@
     std::vector<kept_catalog_request> kept_requests;
     std::map<answer_match, std::uint64_t> stray_answers;    ///< Replies of endpoints that were not awaited, for the metrics.
     std::map<result_code, std::uint64_t> refused_messages;  ///< Callers' messages that were not understood, for the metrics.
+    std::map<caller_close_reason, std::uint64_t> closed_callers;  ///< Callers closed to stay within limits, for the metrics.
+    std::size_t session_bytes = 0;                                ///< Session values and prepared shapes of all sessions.
     std::uint64_t relayed_answers = 0;  ///< Number of requests for changes that this host answered, for the metrics.
     std::map<std::string, std::string> logged_problems;  ///< Last logged problem of each object, by collection and name.
     bool serving = false;
--- a/src/camphorstack/sessions/caller_session.hpp
+++ b/src/camphorstack/sessions/caller_session.hpp
@@ -78,6 +78,7 @@
     std::string key_sha256;                          ///< Lower-case hexadecimal.
     std::vector<session_value> values;               ///< Sorted by name.
     std::map<std::string, prepared_shape> prepared;  ///< Prepared statements by the caller's names.
+    std::size_t held_bytes = 0;                      ///< Names, values and shapes.
     session_state state = session_state::idle;
     std::optional<session_transaction> transaction;
     std::optional<log_position> written;  ///< Log position of the session's last acknowledged write.
--- a/src/camphorstack/settings/parse_session_settings.cpp
+++ b/src/camphorstack/settings/parse_session_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "camphorstack/links/memory_account.hpp"
 #include "camphorstack/settings/daemon_settings.hpp"
 #include "camphorstack/settings/session_settings.hpp"
 #include "camphorstack/settings/settings_reader.hpp"
@@ -29,6 +30,19 @@
     }
 }
 
+void read_caller_limits(settings_reader& reader, session_settings& target) {
+    auto& callers = target.callers;
+    reader.optional_size("memory_limit", least_memory_limit, callers.memory_limit);
+    reader.optional_count("descriptor_limit", callers.descriptor_limit);
+    reader.optional_count("connections_per_address", callers.connections_per_address);
+    reader.optional_duration("start_time", one_millisecond, callers.start_time);
+    reader.optional_duration("message_time", one_millisecond, callers.message_time);
+    reader.optional_duration("answer_time", one_millisecond, callers.answer_time);
+    auto& entry = target.host.entry;
+    reader.optional_size("session_state_limit", 1, entry.session_state_limit);
+    entry.all_session_state_limit = memory_part_limit(callers.memory_limit);
+}
+
 session_settings read_session_root(const YAML::Node& root, settings_errors& errors) {
     session_settings result;
     settings_reader reader{errors, root, ""};
@@ -48,6 +62,7 @@
     reader.optional_duration("document_in_force", one_millisecond, document_in_force);
     host.entry.document_lifetime = key_withdrawal * document_lifetime_percent / percent;
     host.entry.refusal_lifetime = document_in_force * document_lifetime_percent / percent;
+    read_caller_limits(reader, result);
     reader.reject_unknown_keys();
     if (host.regions.find(host.self.location) == host.regions.end() && errors.lines.empty()) {
         reader.add_error("data_centre", "is not among data_centres");
--- a/src/camphorstack/settings/session_settings.hpp
+++ b/src/camphorstack/settings/session_settings.hpp
@@ -2,13 +2,15 @@
 
 #include <string>
 
+#include "camphorstack/links/caller_limits.hpp"
 #include "camphorstack/session_host/session_host_settings.hpp"
 
 namespace camphorstack {
 
 /// Settings that `camphorstack serve-sessions` reads from its YAML file.
 struct session_settings {
-    session_host_settings host;     ///< `host.self` holds the id, the data centre, and the addresses for peers and for callers.
+    session_host_settings host;  ///< `host.self` holds the id, the data centre, and the addresses for peers and for callers.
+    caller_limits callers;
     std::string readiness_address;  ///< Listen address for readiness checks of the load balancer.
     std::string metrics_address;    ///< Listen address for metrics.
     std::string store_address;      ///< Address of the platform's store.
--- a/src/camphorstack/settings/settings_reader.cpp
+++ b/src/camphorstack/settings/settings_reader.cpp
@@ -146,6 +146,24 @@
     }
 }
 
+void settings_reader::optional_size(const std::string& key, std::size_t lowest, std::size_t& value) {
+    const YAML::Node given = this->child(key);
+    if (!given.IsDefined()) {
+        return;
+    }
+    constexpr std::size_t kibibyte = 1024;
+    constexpr std::size_t suffix_length = 2;
+    const std::string text = given.IsScalar() ? given.Scalar() : "";
+    const std::size_t unit = text.ends_with("MB") ? kibibyte * kibibyte : text.ends_with("KB") ? kibibyte : 0;
+    const auto read = unit == 0 ? std::nullopt : read_whole_number(text.substr(0, text.size() - suffix_length));
+    if (!read || *read < 1 || static_cast<std::size_t>(*read) > max_count || static_cast<std::size_t>(*read) * unit < lowest) {
+        this->add_error(key, "must be a size of at least " + std::to_string((lowest + kibibyte - 1) / kibibyte) +
+                                 "KB, such as 160MB or 512KB");
+    } else {
+        value = static_cast<std::size_t>(*read) * unit;
+    }
+}
+
 void settings_reader::reject_unknown_keys() {
     std::set<std::string> seen;
     for (const auto& entry : this->node) {
--- a/src/camphorstack/settings/settings_reader.hpp
+++ b/src/camphorstack/settings/settings_reader.hpp
@@ -42,6 +42,9 @@
     void optional_duration(const std::string& key, millis lowest, millis& value);
     /// Sets `value` to a whole number from 1 to 1,000,000 if the key is present.
     void optional_count(const std::string& key, std::size_t& value);
+    /// Sets `value` to a size in bytes of at least `lowest` if the key is present. The text is a whole number with the unit MB,
+    /// of 2^20 bytes, or KB.
+    void optional_size(const std::string& key, std::size_t lowest, std::size_t& value);
     /// Returns the value of the key; an undefined node if the key is absent.
     YAML::Node child(const std::string& key);
     /// Adds an error with the line of the key, or of the mapping if the key is absent.
--- a/src/camphorstack/support/fd_watcher.cpp
+++ b/src/camphorstack/support/fd_watcher.cpp
@@ -16,9 +16,10 @@
 
 namespace {
 
-epoll_event event_for(int descriptor, bool reports_writable) {
+epoll_event event_for(int descriptor, bool reports_readable, bool reports_writable) {
     epoll_event event{};
-    event.events = static_cast<std::uint32_t>(EPOLLIN) | (reports_writable ? static_cast<std::uint32_t>(EPOLLOUT) : 0U);
+    event.events = (reports_readable ? static_cast<std::uint32_t>(EPOLLIN) : 0U) |
+                   (reports_writable ? static_cast<std::uint32_t>(EPOLLOUT) : 0U);
     event.data.fd = descriptor;
     return event;
 }
@@ -38,11 +39,11 @@
 }
 
 void fd_watcher::add(int descriptor, callback ready) {
-    epoll_event event = event_for(descriptor, false);
+    epoll_event event = event_for(descriptor, true, false);
     if (epoll_ctl(this->epoll, EPOLL_CTL_ADD, descriptor, &event) != 0) {
         throw io_error("cannot add a file descriptor to epoll: " + std::string(g_strerror(errno)));
     }
-    this->watches[descriptor] = std::make_shared<watch>(watch{std::move(ready), false});
+    this->watches[descriptor] = std::make_shared<watch>(watch{std::move(ready), false, true});
 }
 
 void fd_watcher::watch_writable(int descriptor, bool is_enabled) {
@@ -51,7 +52,20 @@
         return;
     }
     found->second->reports_writable = is_enabled;
-    epoll_event event = event_for(descriptor, is_enabled);
+    this->apply(descriptor, *found->second);
+}
+
+void fd_watcher::watch_readable(int descriptor, bool is_enabled) {
+    const auto found = this->watches.find(descriptor);
+    if (found == this->watches.end() || found->second->reports_readable == is_enabled) {
+        return;
+    }
+    found->second->reports_readable = is_enabled;
+    this->apply(descriptor, *found->second);
+}
+
+void fd_watcher::apply(int descriptor, const watch& changed) const {
+    epoll_event event = event_for(descriptor, changed.reports_readable, changed.reports_writable);
     epoll_ctl(this->epoll, EPOLL_CTL_MOD, descriptor, &event);
 }
 
--- a/src/camphorstack/support/fd_watcher.hpp
+++ b/src/camphorstack/support/fd_watcher.hpp
@@ -36,6 +36,9 @@
     void add(int descriptor, callback ready);
     /// Starts or stops calling the callback when the descriptor is writable.
     void watch_writable(int descriptor, bool is_enabled);
+    /// Stops or starts again calling the callback when the descriptor is readable. An error or a connection that is closed in
+    /// both directions is reported as readable also while stopped.
+    void watch_readable(int descriptor, bool is_enabled);
     /// Stops watching the descriptor; its callback is not called again. May be called from inside a callback.
     void remove(int descriptor);
 
@@ -43,8 +46,10 @@
     struct watch {
         callback ready;
         bool reports_writable = false;
+        bool reports_readable = true;
     };
 
+    void apply(int descriptor, const watch& changed) const;
     static gboolean dispatch(gint descriptor, GIOCondition condition, gpointer self);
 
     int epoll = -1;
--- a/tests/hostile_callers/hostile_callers.tests.cpp
+++ b/tests/hostile_callers/hostile_callers.tests.cpp
@@ -25,7 +25,8 @@
 constexpr millis after_load{1000};
 constexpr millis longest_wait{30000};
 
-const char* const limits_of_tests = "";
+/// The memory bound in units of 2^20 bytes, and the descriptors.
+const char* const limits_of_tests = "memory_limit: 61MB\ndescriptor_limit: 100\n";
 
 constexpr int crowd = 32;
 constexpr std::size_t kilobyte = 1000;
@@ -104,6 +105,7 @@
     /// Lets the crowd send until all is sent or the time is over, and a little longer.
     void suffer(const crowd_plan& plan) {
         std::vector<std::unique_ptr<hostile_caller>> callers;
+        callers.reserve(static_cast<std::size_t>(plan.callers));
         for (int i = 0; i < plan.callers; ++i) {
             callers.push_back(std::make_unique<hostile_caller>(this->host->callers_address(), plan));
         }
@@ -220,7 +222,7 @@
 TEST_CASE("callers that set many session values leave a host within its memory", "[.][hostile-callers]") {
     std::string opening = start;
     for (int i = 0; i < 50; ++i) {
-        opening += "QUERY m-1 SET v" + std::to_string(i) + " " + std::string(100 * kilobyte, 'v') + "\r\n";
+        opening.append("QUERY m-1 SET v" + std::to_string(i) + " " + std::string(100 * kilobyte, 'v') + "\r\n");
     }
     play("session values", {crowd, opening, "", 0, megabyte, megabyte});
 }
--- a/tests/settings/parse_session_settings.tests.cpp
+++ b/tests/settings/parse_session_settings.tests.cpp
@@ -54,6 +54,26 @@
     CHECK_FALSE(is_session_settings("{{"));
 }
 
+TEST_CASE("limits on callers are read, and have defaults", "[settings][session-settings]") {
+    constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
+    const auto defaults = parse_session_settings(complete_settings, "f.yaml");
+    CHECK(defaults.callers == caller_limits{});
+    CHECK(defaults.host.entry.all_session_state_limit == 120 * mebibyte);
+    const auto lowered =
+        parse_session_settings(complete_settings +
+                                   "memory_limit: 160MB\ndescriptor_limit: 300\nconnections_per_address: 20\nstart_time: 1s\n"
+                                   "message_time: 2s\nanswer_time: 3s\nsession_state_limit: 512KB\n",
+                               "f.yaml");
+    CHECK(lowered.callers == caller_limits{160 * mebibyte, 300, 20, millis{1000}, millis{2000}, millis{3000}});
+    CHECK(lowered.host.entry.session_state_limit == mebibyte / 2);
+    CHECK(lowered.host.entry.all_session_state_limit == 32 * mebibyte);
+    for (const auto* line : {"memory_limit: 47MB", "memory_limit: 160", "memory_limit: MB", "memory_limit: -1MB",
+                             "session_state_limit: 0KB", "descriptor_limit: 0", "answer_time: 3"}) {
+        CAPTURE(line);
+        CHECK(errors_of(complete_settings + line + "\n").find("f.yaml:") != std::string::npos);
+    }
+}
+
 TEST_CASE("every error of a session host's settings is reported with its line", "[settings][session-settings]") {
     for (const auto* key : {"id", "data_centre", "peer_address", "callers_address", "readiness_address", "metrics_address",
                             "store_address", "promotion_address", "fleet_secret"}) {
