--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -44,6 +44,10 @@
     /// Idle sessions are closed only this soon after a report was sent that another host has answered: what was sent to this host
     /// earlier than that, and the time of a path between regions, has arrived.
     millis close_window{150};
+    /// Values and prepared shapes of one session, in bytes: four messages of the largest size.
+    std::size_t session_state_limit = std::size_t{4} * 1024 * 1024;
+    /// Values and prepared shapes of all sessions, in bytes. The session with the most is closed above it.
+    std::size_t all_session_state_limit = std::size_t{120} * 1024 * 1024;
     /// Limit on the statements that one caller may pipeline.
     std::size_t max_waiting_statements = 256;
 
