Pass primaries' positions on between hosts instead of asking for each

Cause: each host asked each database's primary by itself every 600 ms. Change: a host that runs statements at a primary takes a sample from each of its answers; results between hosts carry the newest sample with its age, dated by the receiver no later than the primary was asked; a request for a position is answered from a sample of at most 200 ms, or kept until the one request under way is answered; hosts in other regions than the primary ask a host of their own region first. Run requests and results get optional fields; hosts of an earlier version are answered as before. Evidence: position_requests.tests.cpp: each sample of each host against the writes acknowledged before its time, with cut links, repeated answers, killed owners and a change of leader; status statements at 8, 40 and 88 hosts.

--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -238,7 +238,7 @@
     result.id = run.request.id;
     result.wait = estimated_wait(state, endpoint);
     result.transaction_open = run.request.transaction != 0 && state.transactions.contains({run.origin, run.request.transaction});
-    state.results.push_back({run.origin, std::move(result)});
+    state.results.push_back({run.origin, std::move(result), run.request.endpoint});
 }
 
 void refuse_run(executor_state& state, const endpoint_executor& endpoint, const submitted_run& run, result_code code,
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -175,6 +175,13 @@
     return !is_administrative(request.kind) && reply.state != (stays_open ? session_state::in_transaction : session_state::idle);
 }
 
+void record_primary_answer(endpoint_executor& endpoint, const primary_answer& answer) {
+    const auto& newest = endpoint.newest_answer;
+    if (!newest || std::pair(newest->round, newest->asked.since_start) < std::pair(answer.round, answer.asked.since_start)) {
+        endpoint.newest_answer = answer;
+    }
+}
+
 void finish_statement(executor_state& state, endpoint_executor& endpoint, executor_connection& connection,
                       const endpoint_reply& reply, instant now) {
     const auto run = std::move(*std::exchange(connection.run, std::nullopt));
@@ -183,6 +190,9 @@
         update_mean_service(state, endpoint, now - connection.since);
     }
     auto result = result_of(endpoint, request, reply);
+    if (result.round != 0 && result.position) {
+        record_primary_answer(endpoint, {result.round, *result.position, connection.since});
+    }
     if (is_too_late(state, endpoint, request, now) && result.outcome == run_outcome::done) {
         result = run_result{};
         result.outcome = run_outcome::lost;
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -103,12 +103,14 @@
     instant last_refusal;
     instant not_before;                           ///< No connection is opened earlier.
     std::optional<log_position> newest_position;  ///< Highest position in the answers outside of transactions.
+    std::optional<primary_answer> newest_answer;  ///< As the primary, the answer that was asked for last.
 };
 
 /// A result and the host that it goes to.
 struct addressed_result {
     host_id origin;
     run_result result;
+    endpoint_id endpoint;  ///< Empty for a run that was not sent to an executor.
 
     friend bool operator==(const addressed_result&, const addressed_result&) = default;
 };
--- a/src/camphorstack/executors/run.hpp
+++ b/src/camphorstack/executors/run.hpp
@@ -8,6 +8,7 @@
 #include "camphorstack/catalog/fleet_record.hpp"
 #include "camphorstack/endpoints/position.hpp"
 #include "camphorstack/executors/endpoint_connection.hpp"
+#include "camphorstack/executors/known_position.hpp"
 #include "camphorstack/sessions/result_code.hpp"
 #include "camphorstack/sessions/statement.hpp"
 #include "camphorstack/support/clock.hpp"
@@ -48,10 +49,11 @@
     std::vector<session_value> values;       ///< The session's values, sorted by name.
     std::uint64_t transaction = 0;           ///< Number of the transaction, unique for the origin; 0 outside of a transaction.
     transaction_start start = transaction_start::none;
-    leader_round round = 0;    ///< The endpoint must be the leader of this round; 0 for a read at any endpoint.
-    millis statement_timeout;  ///< Time limit from when the statement is sent to the endpoint.
-    millis queue_timeout;      ///< The run is refused if it cannot be sent to the endpoint within this time.
-    int priority = 0;          ///< 0 is the highest.
+    leader_round round = 0;               ///< The endpoint must be the leader of this round; 0 for a read at any endpoint.
+    millis statement_timeout;             ///< Time limit from when the statement is sent to the endpoint.
+    millis queue_timeout;                 ///< The run is refused if it cannot be sent to the endpoint within this time.
+    int priority = 0;                     ///< 0 is the highest.
+    bool accepts_known_position = false;  ///< A status run may be answered with `run_result::known` alone.
 
     friend bool operator==(const run_request&, const run_request&) = default;
 };
@@ -81,6 +83,7 @@
     millis wait;                    ///< Estimated queue wait of the next run at this endpoint.
     bool transaction_open = false;  ///< The run's transaction is still open at the endpoint.
     std::optional<endpoint_self_report> status;  ///< Answer to `run_kind::status` and `run_kind::demote`.
+    std::optional<known_position> known;         ///< Newest position of the primary that the sender knows.
 
     friend bool operator==(const run_result&, const run_result&) = default;
 };
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -198,6 +198,7 @@
         table.add_statement_timeout_ms(body.statement_timeout.count);
         table.add_patience_ms(body.queue_timeout.count);
         table.add_priority(body.priority);
+        table.add_accepts_known_position(body.accepts_known_position);
         return {wire::Body::RunRequest, table.Finish().Union()};
     }
 
@@ -227,6 +228,13 @@
             table.add_received_index(body.status->received.index);
             table.add_lag_ms(body.status->lag.count);
         }
+        if (body.known) {
+            table.add_has_known(true);
+            table.add_known_round(body.known->round);
+            table.add_known_term(body.known->position.term);
+            table.add_known_index(body.known->position.index);
+            table.add_known_age_ms(body.known->age.count);
+        }
         return {wire::Body::RunResult, table.Finish().Union()};
     }
 
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -184,6 +184,7 @@
     request.statement_timeout = millis{check_not_negative(table.statement_timeout_ms())};
     request.queue_timeout = millis{check_not_negative(table.patience_ms())};
     request.priority = table.priority();
+    request.accepts_known_position = table.accepts_known_position();
     return request;
 }
 
@@ -206,6 +207,10 @@
         result.status = endpoint_self_report{table.is_primary(), table.status_term(),
                                              log_position{table.received_term(), table.received_index()}, millis{table.lag_ms()}};
     }
+    if (table.has_known()) {
+        result.known = known_position{table.known_round(), log_position{table.known_term(), table.known_index()},
+                                      millis{check_not_negative(table.known_age_ms())}};
+    }
     return result;
 }
 
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -1807,7 +1807,8 @@
     VT_ROUND = 34,
     VT_STATEMENT_TIMEOUT_MS = 36,
     VT_PATIENCE_MS = 38,
-    VT_PRIORITY = 40
+    VT_PRIORITY = 40,
+    VT_ACCEPTS_KNOWN_POSITION = 42
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1866,6 +1867,9 @@
   int32_t priority() const {
     return GetField<int32_t>(VT_PRIORITY, 0);
   }
+  bool accepts_known_position() const {
+    return GetField<uint8_t>(VT_ACCEPTS_KNOWN_POSITION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1894,6 +1898,7 @@
            VerifyField<int64_t>(verifier, VT_STATEMENT_TIMEOUT_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_PATIENCE_MS, 8) &&
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_KNOWN_POSITION, 1) &&
            verifier.EndTable();
   }
 };
@@ -1959,6 +1964,9 @@
   void add_priority(int32_t priority) {
     fbb_.AddElement<int32_t>(RunRequest::VT_PRIORITY, priority, 0);
   }
+  void add_accepts_known_position(bool accepts_known_position) {
+    fbb_.AddElement<uint8_t>(RunRequest::VT_ACCEPTS_KNOWN_POSITION, static_cast<uint8_t>(accepts_known_position), 0);
+  }
   explicit RunRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1990,7 +1998,8 @@
     uint64_t round = 0,
     int64_t statement_timeout_ms = 0,
     int64_t patience_ms = 0,
-    int32_t priority = 0) {
+    int32_t priority = 0,
+    bool accepts_known_position = false) {
   RunRequestBuilder builder_(_fbb);
   builder_.add_patience_ms(patience_ms);
   builder_.add_statement_timeout_ms(statement_timeout_ms);
@@ -2006,6 +2015,7 @@
   builder_.add_statement_id(statement_id);
   builder_.add_workspace(workspace);
   builder_.add_endpoint(endpoint);
+  builder_.add_accepts_known_position(accepts_known_position);
   builder_.add_start(start);
   builder_.add_has_after(has_after);
   builder_.add_is_prepared(is_prepared);
@@ -2039,7 +2049,8 @@
     uint64_t round = 0,
     int64_t statement_timeout_ms = 0,
     int64_t patience_ms = 0,
-    int32_t priority = 0) {
+    int32_t priority = 0,
+    bool accepts_known_position = false) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto statement_id__ = statement_id ? _fbb.CreateString(statement_id) : 0;
@@ -2066,7 +2077,8 @@
       round,
       statement_timeout_ms,
       patience_ms,
-      priority);
+      priority,
+      accepts_known_position);
 }
 
 struct RunResult FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2091,7 +2103,12 @@
     VT_STATUS_TERM = 34,
     VT_RECEIVED_TERM = 36,
     VT_RECEIVED_INDEX = 38,
-    VT_LAG_MS = 40
+    VT_LAG_MS = 40,
+    VT_HAS_KNOWN = 42,
+    VT_KNOWN_ROUND = 44,
+    VT_KNOWN_TERM = 46,
+    VT_KNOWN_INDEX = 48,
+    VT_KNOWN_AGE_MS = 50
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2150,6 +2167,21 @@
   int64_t lag_ms() const {
     return GetField<int64_t>(VT_LAG_MS, 0);
   }
+  bool has_known() const {
+    return GetField<uint8_t>(VT_HAS_KNOWN, 0) != 0;
+  }
+  uint64_t known_round() const {
+    return GetField<uint64_t>(VT_KNOWN_ROUND, 0);
+  }
+  uint64_t known_term() const {
+    return GetField<uint64_t>(VT_KNOWN_TERM, 0);
+  }
+  uint64_t known_index() const {
+    return GetField<uint64_t>(VT_KNOWN_INDEX, 0);
+  }
+  int64_t known_age_ms() const {
+    return GetField<int64_t>(VT_KNOWN_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2175,6 +2207,11 @@
            VerifyField<uint64_t>(verifier, VT_RECEIVED_TERM, 8) &&
            VerifyField<uint64_t>(verifier, VT_RECEIVED_INDEX, 8) &&
            VerifyField<int64_t>(verifier, VT_LAG_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_KNOWN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_ROUND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_TERM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_INDEX, 8) &&
+           VerifyField<int64_t>(verifier, VT_KNOWN_AGE_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -2240,6 +2277,21 @@
   void add_lag_ms(int64_t lag_ms) {
     fbb_.AddElement<int64_t>(RunResult::VT_LAG_MS, lag_ms, 0);
   }
+  void add_has_known(bool has_known) {
+    fbb_.AddElement<uint8_t>(RunResult::VT_HAS_KNOWN, static_cast<uint8_t>(has_known), 0);
+  }
+  void add_known_round(uint64_t known_round) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_KNOWN_ROUND, known_round, 0);
+  }
+  void add_known_term(uint64_t known_term) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_KNOWN_TERM, known_term, 0);
+  }
+  void add_known_index(uint64_t known_index) {
+    fbb_.AddElement<uint64_t>(RunResult::VT_KNOWN_INDEX, known_index, 0);
+  }
+  void add_known_age_ms(int64_t known_age_ms) {
+    fbb_.AddElement<int64_t>(RunResult::VT_KNOWN_AGE_MS, known_age_ms, 0);
+  }
   explicit RunResultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2271,8 +2323,17 @@
     uint64_t status_term = 0,
     uint64_t received_term = 0,
     uint64_t received_index = 0,
-    int64_t lag_ms = 0) {
+    int64_t lag_ms = 0,
+    bool has_known = false,
+    uint64_t known_round = 0,
+    uint64_t known_term = 0,
+    uint64_t known_index = 0,
+    int64_t known_age_ms = 0) {
   RunResultBuilder builder_(_fbb);
+  builder_.add_known_age_ms(known_age_ms);
+  builder_.add_known_index(known_index);
+  builder_.add_known_term(known_term);
+  builder_.add_known_round(known_round);
   builder_.add_lag_ms(lag_ms);
   builder_.add_received_index(received_index);
   builder_.add_received_term(received_term);
@@ -2285,6 +2346,7 @@
   builder_.add_proof(proof);
   builder_.add_rows(rows);
   builder_.add_text(text);
+  builder_.add_has_known(has_known);
   builder_.add_is_primary(is_primary);
   builder_.add_has_status(has_status);
   builder_.add_transaction_open(transaction_open);
@@ -2320,7 +2382,12 @@
     uint64_t status_term = 0,
     uint64_t received_term = 0,
     uint64_t received_index = 0,
-    int64_t lag_ms = 0) {
+    int64_t lag_ms = 0,
+    bool has_known = false,
+    uint64_t known_round = 0,
+    uint64_t known_term = 0,
+    uint64_t known_index = 0,
+    int64_t known_age_ms = 0) {
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto rows__ = rows ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*rows) : 0;
   auto proof__ = proof ? _fbb.CreateString(proof) : 0;
@@ -2344,7 +2411,12 @@
       status_term,
       received_term,
       received_index,
-      lag_ms);
+      lag_ms,
+      has_known,
+      known_round,
+      known_term,
+      known_index,
+      known_age_ms);
 }
 
 struct TransactionLeft FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -8,6 +8,7 @@
 #include "camphorstack/session_host/catalog_relay.hpp"
 #include "camphorstack/session_host/catalog_updates.hpp"
 #include "camphorstack/session_host/kept_links.hpp"
+#include "camphorstack/session_host/position_requests.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
 #include "camphorstack/session_host/session_host_state.hpp"
 #include "camphorstack/session_host/share_members.hpp"
@@ -97,7 +98,9 @@
     record_stray_answers(state);
     while (!state.executor.results.empty()) {
         for (auto& item : std::exchange(state.executor.results, {})) {
+            learn_position(state, item.endpoint);
             if (item.origin != state.settings.self.id) {
+                add_known_position(state, item, now);
                 send_peer(state, item.origin, std::move(item.result));
             } else if (!receive_status_result(state, item.result, now)) {
                 receive_run_result(state, item.result, now);
@@ -107,6 +110,7 @@
     for (auto& action : std::exchange(state.executor.actions, {})) {
         std::visit([&state](auto& chosen) { state.actions.emplace_back(std::move(chosen)); }, action);
     }
+    answer_position_requests(state, now);
 }
 
 /// Returns true if the answer is the adapter's to a decode call and not the store's.
@@ -388,6 +392,16 @@
     for (const auto& [code, count] : state.refused_messages) {
         out << "camphorstack_refused_messages_total{code=\"" << to_string(code) << "\"} " << count << '\n';
     }
+    const auto& positions = state.position_counts;
+    out << "# HELP camphorstack_position_requests_total Requests for primaries' positions, by what became of them.\n"
+        << "# TYPE camphorstack_position_requests_total counter\n"
+        << "camphorstack_position_requests_total{event=\"sent_to_endpoint\"} " << positions.sent_to_endpoints << '\n'
+        << "camphorstack_position_requests_total{event=\"sent_to_host\"} " << positions.sent_to_hosts << '\n'
+        << "camphorstack_position_requests_total{event=\"answered\"} " << positions.answered << '\n'
+        << "camphorstack_position_requests_total{event=\"expired\"} " << positions.expired << '\n'
+        << "# HELP camphorstack_positions_learned_total Primaries' positions that came with other answers.\n"
+        << "# TYPE camphorstack_positions_learned_total counter\ncamphorstack_positions_learned_total " << positions.learned
+        << '\n';
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
--- a/src/camphorstack/session_host/session_host_state.cpp
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -84,7 +84,7 @@
     unsent.code = result_code::busy;
     unsent.text = "the address of the endpoint's owner is not known";
     if (!send_peer(state, host, std::move(request))) {
-        state.executor.results.push_back({state.settings.self.id, std::move(unsent)});
+        state.executor.results.push_back({state.settings.self.id, std::move(unsent), ""});
     }
 }
 
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -13,6 +13,7 @@
 #include "camphorstack/catalog/relayed_collection.hpp"
 #include "camphorstack/coordination/coordination.hpp"
 #include "camphorstack/executors/executor.hpp"
+#include "camphorstack/session_host/position_request.hpp"
 #include "camphorstack/session_host/session_host_events.hpp"
 #include "camphorstack/session_host/session_host_settings.hpp"
 #include "camphorstack/sessions/caller_session.hpp"
@@ -83,12 +84,12 @@
     share_state shares;
     executor_state executor;
     std::map<session_id, caller_session> sessions;
-    std::map<run_id, session_id> runs;  ///< Session of each run in flight.
-    std::map<run_id, database_id>
-        position_requests;  ///< Database of each status run in flight that requests a primary's position.
-    std::map<run_id, instant> position_request_times;  ///< When each position request was sent.
-    std::map<database_id, position_samples> samples;   ///< Log positions of each database's primary.
-    std::map<database_id, instant> sample_needed_at;   ///< When a read last needed a position sample of the database.
+    std::map<run_id, session_id> runs;                     ///< Session of each run in flight.
+    std::map<run_id, position_request> position_requests;  ///< Not answered yet.
+    std::vector<kept_position_request> kept_position_requests;
+    position_request_counts position_counts;
+    std::map<database_id, position_samples> samples;  ///< Log positions of each database's primary.
+    std::map<database_id, instant> sample_needed_at;  ///< When a read last needed a position sample of the database.
     std::map<endpoint_id, reported_wait> reported_waits;
     std::map<host_id, instant> broken_links;  ///< Peers that cannot be reached, with the time of the last attempt.
     std::map<host_id, instant> kept_links;    ///< When a message was last sent to keep the link to a peer open.
--- a/src/camphorstack/session_host/shutdown.cpp
+++ b/src/camphorstack/session_host/shutdown.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "camphorstack/coordination/coordinator.hpp"
+#include "camphorstack/session_host/position_requests.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
 #include "camphorstack/support/log_value.hpp"
 
@@ -88,7 +89,9 @@
 
 void receive_run_request(session_host_state& state, const host_id& origin, const run_request& request, instant now) {
     if (can_answer_before_end(state, request.queue_timeout + request.statement_timeout, now)) {
-        submit_run(state.executor, origin, request, now);
+        if (!receive_position_request(state, origin, request, now)) {
+            submit_run(state.executor, origin, request, now);
+        }
         return;
     }
     const bool continues = continues_transaction(request);
--- a/src/camphorstack/sessions/position_samples.hpp
+++ b/src/camphorstack/sessions/position_samples.hpp
@@ -12,7 +12,7 @@
 /// The end of the primary's log at some time after `requested_at`. The log up to `position` contains every write that was
 /// acknowledged before `requested_at`.
 struct position_sample {
-    instant requested_at;  ///< When the run was sent that the primary answered with this position.
+    instant requested_at;  ///< When the primary was asked that named this position, or earlier.
     log_position position;
 
     friend bool operator==(const position_sample&, const position_sample&) = default;
