--- a/src/camphorstack/catalog/catalog.cpp
+++ b/src/camphorstack/catalog/catalog.cpp
@@ -12,6 +12,8 @@
             return "evacuations";
         case collection::fleet:
             return "fleet";
+        case collection::usage:
+            return "usage";
     }
     return "?";
 }
@@ -22,6 +24,8 @@
             return "list";
         case catalog_operation::watch:
             return "watch";
+        case catalog_operation::get:
+            return "get";
         case catalog_operation::create:
             return "create";
         case catalog_operation::replace:
--- a/src/camphorstack/catalog/catalog.hpp
+++ b/src/camphorstack/catalog/catalog.hpp
@@ -21,8 +21,10 @@
     endpoints,    ///< Written by the endpoints themselves.
     evacuations,  ///< Written by operators: the data centres that must receive no requests.
     fleet,        ///< Written by the hosts: coordinator, members, leaders and the claims of unreachable members.
+    usage,        ///< Written and read by the coordinator: the usage report that is being sent. No host watches it.
 };
 
+/// Number of collections that hosts watch; they come first.
 constexpr std::size_t collection_count = 4;
 
 [[nodiscard]] const char* to_string(collection value);
@@ -64,6 +66,7 @@
 enum class catalog_operation : std::uint8_t {
     list,
     watch,
+    get,  ///< Reads one object.
     create,
     replace,
     decode,  ///< No call to the store: the adapter decodes objects that another host has sent.
@@ -76,10 +79,10 @@
     std::uint64_t id = 0;
     collection collection_id = collection::document;
     catalog_operation operation = catalog_operation::list;
-    std::string name;             ///< Create, replace: name of the object. List: only objects with a greater name are returned.
-    store_revision revision = 0;  ///< Watch: report changes after it. Replace: revision that the object must have.
-    millis wait;                  ///< Watch: the store answers after this time even if nothing has changed.
-    std::string text;             ///< Create, replace: new content of the object.
+    std::string name;  ///< Get, create, replace: name of the object. List: only objects with a greater name are returned.
+    store_revision revision = 0;            ///< Watch: report changes after it. Replace: revision that the object must have.
+    millis wait;                            ///< Watch: the store answers after this time even if nothing has changed.
+    std::string text;                       ///< Create, replace: new content of the object.
     std::vector<std::string> sources = {};  ///< Decode: the objects.
     millis answer_timeout{0};  ///< List, watch: time limit until the answer begins, after `wait`; 0 for the adapter's own.
 
@@ -109,7 +112,7 @@
     std::uint64_t id = 0;  ///< Of the call.
     catalog_status status = catalog_status::no_answer;
     std::vector<catalog_item>
-        items;  ///< List, watch, decode: listed or changed objects. Create, replace: the object's current state.
+        items;  ///< List, watch, decode: listed or changed objects. Get, create, replace: the object's current state.
     std::vector<std::string> removed;  ///< Watch: names of removed objects.
     bool more = false;                 ///< List: the list continues after the last item.
     store_revision revision = 0;       ///< Revision of the store.
--- a/src/camphorstack/cli/serve_sessions.cpp
+++ b/src/camphorstack/cli/serve_sessions.cpp
@@ -95,13 +95,14 @@
 void serve(const session_settings& settings, const session_links_provider& make, const std::string& file,
            const std::string& text) {
     const suspend_aware_clock time;
+    const system_wall_clock wall;
     const std::unique_ptr<GMainLoop, main_loop_deleter> loop(g_main_loop_new(nullptr, FALSE));
     const auto make_links = [&](const session_event_sink& sink, monitoring_callbacks pages) {
         return make(settings, sink, std::move(pages));
     };
     decision_log log(time, STDOUT_FILENO, {});
     session_host_task task(
-        make_session_host(settings.host, seeded_random(), time.now()), make_links, time,
+        make_session_host(settings.host, seeded_random(), time.now()), make_links, time, wall,
         [&log](const decision_line& line) { log.write(line.kind, line.text, line.is_failure); },
         [&loop]() { g_main_loop_quit(loop.get()); });
     const g_source_handle terminate(g_unix_signal_add(SIGTERM, &on_stop_signal, &task));
--- a/src/camphorstack/coordination/coordinator.hpp
+++ b/src/camphorstack/coordination/coordinator.hpp
@@ -7,6 +7,13 @@
 /// Returns true if the store's record names this process as the coordinator.
 [[nodiscard]] bool holds_coordinator_role(const session_host_state& state);
 
+/// Returns true if this host may act as the coordinator towards the platform: the store has confirmed since `since` that it holds
+/// the role, its predecessor's last calls are over, and the confirmation has not expired. Else asks for a confirmation.
+[[nodiscard]] bool confirms_role(session_host_state& state, instant since, instant now);
+
+/// Asks the store whether this host is still the coordinator.
+void request_role_confirmation(session_host_state& state, instant now);
+
 /// Returns true if the coordinator has not answered this host's last report in time.
 [[nodiscard]] bool is_coordinator_silent(const session_host_state& state, instant now);
 
--- a/src/camphorstack/coordination/coordinator_role.cpp
+++ b/src/camphorstack/coordination/coordinator_role.cpp
@@ -141,6 +141,27 @@
     return known && known->record.host.id == state.settings.self.id && known->record.nonce == state.settings.nonce;
 }
 
+void request_role_confirmation(session_host_state& state, instant now) {
+    auto& fleet = watch_of(state, collection::fleet);
+    if (!fleet.listing) {
+        fleet.next_list = now;
+    }
+}
+
+bool confirms_role(session_host_state& state, instant since, instant now) {
+    const auto& coordination = state.coordination;
+    const auto& evidence = watch_of(state, collection::fleet).evidence;
+    const bool may_act = now - coordination.role_changed_at >=
+                         coordination.settings.coordinator_lease + coordination.settings.coordinator_lease_margin;
+    const bool confirmed = evidence && *evidence >= since && now - *evidence < coordination.settings.coordinator_lease &&
+                           holds_coordinator_role(state);
+    if (!confirmed) {
+        // A confirmation that has expired while the host had to wait is requested again.
+        request_role_confirmation(state, now);
+    }
+    return may_act && confirmed;
+}
+
 bool is_coordinator_silent(const session_host_state& state, instant now) {
     const auto& coordination = state.coordination;
     return now - coordination.last_answered_report >= coordination.settings.takeover_after / 2;
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -230,18 +230,7 @@
 }
 
 void confirm(session_host_state& state, leader_change& change, instant now) {
-    const auto& coordination = state.coordination;
-    const auto& evidence = watch_of(state, collection::fleet).evidence;
-    const bool may_act = now - coordination.role_changed_at >=
-                         coordination.settings.coordinator_lease + coordination.settings.coordinator_lease_margin;
-    const bool confirmed = evidence && *evidence >= change.step_began &&
-                           now - *evidence < coordination.settings.coordinator_lease && holds_coordinator_role(state);
-    if (!may_act || !confirmed || now < change.not_before) {
-        // A confirmation that has expired while the host had to wait is requested again.
-        auto& fleet = watch_of(state, collection::fleet);
-        if (!confirmed && !fleet.listing) {
-            fleet.next_list = now;
-        }
+    if (!confirms_role(state, change.step_began, now) || now < change.not_before) {
         return;
     }
     const promotion_call call{state.next_call++, change.record.database, change.target, state.settings.self.id,
--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -197,6 +197,7 @@
     const auto& request = connection.run->request;
     connection.stage = connection_stage::running;
     connection.since = now;
+    connection.run->sent = now;
     if (is_administrative(request.kind)) {
         const auto command = request.kind == run_kind::status ? endpoint_command::status : endpoint_command::demote;
         connection.setup_replies = 0;
@@ -236,6 +237,9 @@
 
 void finish_run(executor_state& state, const endpoint_executor& endpoint, const submitted_run& run, run_result result) {
     result.id = run.request.id;
+    if (result.outcome != run_outcome::not_run && !is_administrative(run.request.kind) && !run.request.workspace.empty()) {
+        state.started.push_back({run.request.workspace, run.sent});
+    }
     result.wait = estimated_wait(state, endpoint);
     result.transaction_open = run.request.transaction != 0 && state.transactions.contains({run.origin, run.request.transaction});
     state.results.push_back({run.origin, std::move(result)});
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -13,6 +13,7 @@
 #include "camphorstack/executors/answer_matching.hpp"
 #include "camphorstack/executors/endpoint_connection.hpp"
 #include "camphorstack/executors/run.hpp"
+#include "camphorstack/usage/usage_counter.hpp"
 
 namespace camphorstack {
 
@@ -49,6 +50,7 @@
     host_id origin;
     run_request request;
     instant arrived;
+    instant sent = {};  ///< When the statement was sent to the endpoint.
 };
 
 enum class connection_stage : std::uint8_t {
@@ -135,6 +137,7 @@
     std::vector<executor_action> actions;     ///< To be carried out; taken by the caller.
     std::vector<addressed_result> results;    ///< To be delivered; taken by the caller.
     std::vector<stray_answer> stray_answers;  ///< To be logged; taken by the caller.
+    std::vector<started_statement> started;   ///< Callers' statements that ran or may have run; taken by the caller.
 };
 
 /// An endpoint that this host may use, and its share of the endpoint's connections.
--- a/src/camphorstack/hosts/peer_message.hpp
+++ b/src/camphorstack/hosts/peer_message.hpp
@@ -13,6 +13,7 @@
 #include "camphorstack/executors/run.hpp"
 #include "camphorstack/hosts/member.hpp"
 #include "camphorstack/hosts/request.hpp"
+#include "camphorstack/usage/usage_messages.hpp"
 
 namespace camphorstack {
 
@@ -103,10 +104,11 @@
     friend bool operator==(const forward_reply&, const forward_reply&) = default;
 };
 
-using peer_body = std::variant<probe, probe_answer, relay_probe, relay_answer, document_request, document_reply, members_request,
-                               members_reply, forward_request, forward_reply, loan_request, loan_grant, run_request, run_result,
-                               transaction_left, membership_report, membership_answer, leader_closed, leader_update,
-                               token_request, token_grant, catalog_request, catalog_reply, coordinator_update>;
+using peer_body =
+    std::variant<probe, probe_answer, relay_probe, relay_answer, document_request, document_reply, members_request, members_reply,
+                 forward_request, forward_reply, loan_request, loan_grant, run_request, run_result, transaction_left,
+                 membership_report, membership_answer, leader_closed, leader_update, token_request, token_grant, catalog_request,
+                 catalog_reply, coordinator_update, usage_report, usage_receipt>;
 
 struct peer_message {
     host_id from;
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -296,6 +296,28 @@
         return {wire::Body::CoordinatorUpdate, table.Union()};
     }
 
+    encoded_body operator()(const usage_report& body) const {
+        std::vector<Offset<wire::WindowCounts>> windows;
+        windows.reserve(body.windows.size());
+        for (const auto& [window, counts] : body.windows) {
+            std::vector<Offset<wire::WorkspaceCount>> tables;
+            tables.reserve(counts.size());
+            for (const auto& [workspace, count] : counts) {
+                tables.push_back(wire::CreateWorkspaceCount(this->out, this->out.CreateString(workspace), count));
+            }
+            windows.push_back(wire::CreateWindowCounts(this->out, window, this->out.CreateVector(tables)));
+        }
+        const auto nonce = this->out.CreateString(body.nonce);
+        const auto all = this->out.CreateVector(windows);
+        const auto table = wire::CreateUsageReport(this->out, nonce, body.sent.since_start, body.clock_ms, body.agreed_ms, all);
+        return {wire::Body::UsageReport, table.Union()};
+    }
+
+    encoded_body operator()(const usage_receipt& body) const {
+        const auto table = wire::CreateUsageReceipt(this->out, body.fence, body.sent.since_start, body.settled, body.agreed_ms);
+        return {wire::Body::UsageReceipt, table.Union()};
+    }
+
 private:
     FlatBufferBuilder& out;
 };
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -247,6 +247,26 @@
     return reply;
 }
 
+peer_body peer_frame_reader::read(const wire::UsageReport& table) {
+    usage_report report;
+    report.nonce = this->text(table.nonce());
+    report.sent = instant{table.sent()};
+    report.clock_ms = check_not_negative(table.clock_ms());
+    report.agreed_ms = check_not_negative(table.agreed_ms());
+    if (table.windows() != nullptr) {
+        for (const wire::WindowCounts* window : *table.windows()) {
+            auto& read = report.windows.emplace_back(window_counts{check_not_negative(require_table(window).window()), {}});
+            if (window->counts() == nullptr) {
+                continue;
+            }
+            for (const wire::WorkspaceCount* count : *window->counts()) {
+                read.counts[this->text(require_table(count).workspace())] = count->count();
+            }
+        }
+    }
+    return report;
+}
+
 peer_body peer_frame_reader::read_body() {
     const wire::Frame& frame = *this->root;
     switch (frame.body_type()) {
@@ -332,6 +352,13 @@
             return coordinator_update{{this->read_member(table.host()), this->text(table.nonce()), table.fence()},
                                       table.revision()};
         }
+        case wire::Body::UsageReport:
+            return this->read(*frame.body_as_UsageReport());
+        case wire::Body::UsageReceipt: {
+            const auto& table = *frame.body_as_UsageReceipt();
+            return usage_receipt{table.fence(), instant{table.sent()}, check_not_negative(table.settled()),
+                                 check_not_negative(table.agreed_ms())};
+        }
         case wire::Body::NONE:
             break;
     }
--- a/src/camphorstack/links/peer_frame_reader.hpp
+++ b/src/camphorstack/links/peer_frame_reader.hpp
@@ -34,6 +34,7 @@
     peer_body read(const wire::MembershipReport& table);
     peer_body read(const wire::MembershipAnswer& table);
     peer_body read(const wire::CatalogReply& table);
+    peer_body read(const wire::UsageReport& table);
     std::vector<std::string> texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>* values);
 
     /// Bytes of text that may still be read, initially the size of the frame. In a malicious frame many offsets may point to the
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -107,6 +107,18 @@
 struct CoordinatorUpdate;
 struct CoordinatorUpdateBuilder;
 
+struct WorkspaceCount;
+struct WorkspaceCountBuilder;
+
+struct WindowCounts;
+struct WindowCountsBuilder;
+
+struct UsageReport;
+struct UsageReportBuilder;
+
+struct UsageReceipt;
+struct UsageReceiptBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -136,11 +148,13 @@
   CatalogRequest = 22,
   CatalogReply = 23,
   CoordinatorUpdate = 24,
+  UsageReport = 25,
+  UsageReceipt = 26,
   MIN = NONE,
-  MAX = CoordinatorUpdate
+  MAX = UsageReceipt
 };
 
-inline const Body (&EnumValuesBody())[25] {
+inline const Body (&EnumValuesBody())[27] {
   static const Body values[] = {
     Body::NONE,
     Body::Probe,
@@ -166,13 +180,15 @@
     Body::TokenGrant,
     Body::CatalogRequest,
     Body::CatalogReply,
-    Body::CoordinatorUpdate
+    Body::CoordinatorUpdate,
+    Body::UsageReport,
+    Body::UsageReceipt
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[26] = {
+  static const char * const names[28] = {
     "NONE",
     "Probe",
     "ProbeAnswer",
@@ -198,13 +214,15 @@
     "CatalogRequest",
     "CatalogReply",
     "CoordinatorUpdate",
+    "UsageReport",
+    "UsageReceipt",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CoordinatorUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::UsageReceipt)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -309,6 +327,14 @@
   static const Body enum_value = Body::CoordinatorUpdate;
 };
 
+template<> struct BodyTraits<camphorstack::wire::UsageReport> {
+  static const Body enum_value = Body::UsageReport;
+};
+
+template<> struct BodyTraits<camphorstack::wire::UsageReceipt> {
+  static const Body enum_value = Body::UsageReceipt;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -3413,6 +3439,330 @@
       revision);
 }
 
+struct WorkspaceCount FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkspaceCountBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKSPACE = 4,
+    VT_COUNT = 6
+  };
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  uint64_t count() const {
+    return GetField<uint64_t>(VT_COUNT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<uint64_t>(verifier, VT_COUNT, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct WorkspaceCountBuilder {
+  typedef WorkspaceCount Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(WorkspaceCount::VT_WORKSPACE, workspace);
+  }
+  void add_count(uint64_t count) {
+    fbb_.AddElement<uint64_t>(WorkspaceCount::VT_COUNT, count, 0);
+  }
+  explicit WorkspaceCountBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkspaceCount> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkspaceCount>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkspaceCount> CreateWorkspaceCount(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    uint64_t count = 0) {
+  WorkspaceCountBuilder builder_(_fbb);
+  builder_.add_count(count);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+struct WorkspaceCount::Traits {
+  using type = WorkspaceCount;
+  static auto constexpr Create = CreateWorkspaceCount;
+};
+
+inline flatbuffers::Offset<WorkspaceCount> CreateWorkspaceCountDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *workspace = nullptr,
+    uint64_t count = 0) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return camphorstack::wire::CreateWorkspaceCount(
+      _fbb,
+      workspace__,
+      count);
+}
+
+struct WindowCounts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WindowCountsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WINDOW = 4,
+    VT_COUNTS = 6
+  };
+  int64_t window() const {
+    return GetField<int64_t>(VT_WINDOW, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::WorkspaceCount>> *counts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::WorkspaceCount>> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_WINDOW, 8) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.VerifyVectorOfTables(counts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct WindowCountsBuilder {
+  typedef WindowCounts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_window(int64_t window) {
+    fbb_.AddElement<int64_t>(WindowCounts::VT_WINDOW, window, 0);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::WorkspaceCount>>> counts) {
+    fbb_.AddOffset(WindowCounts::VT_COUNTS, counts);
+  }
+  explicit WindowCountsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WindowCounts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WindowCounts>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WindowCounts> CreateWindowCounts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t window = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::WorkspaceCount>>> counts = 0) {
+  WindowCountsBuilder builder_(_fbb);
+  builder_.add_window(window);
+  builder_.add_counts(counts);
+  return builder_.Finish();
+}
+
+struct WindowCounts::Traits {
+  using type = WindowCounts;
+  static auto constexpr Create = CreateWindowCounts;
+};
+
+inline flatbuffers::Offset<WindowCounts> CreateWindowCountsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t window = 0,
+    const std::vector<flatbuffers::Offset<camphorstack::wire::WorkspaceCount>> *counts = nullptr) {
+  auto counts__ = counts ? _fbb.CreateVector<flatbuffers::Offset<camphorstack::wire::WorkspaceCount>>(*counts) : 0;
+  return camphorstack::wire::CreateWindowCounts(
+      _fbb,
+      window,
+      counts__);
+}
+
+struct UsageReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_SENT = 6,
+    VT_CLOCK_MS = 8,
+    VT_AGREED_MS = 10,
+    VT_WINDOWS = 12
+  };
+  const flatbuffers::String *nonce() const {
+    return GetPointer<const flatbuffers::String *>(VT_NONCE);
+  }
+  int64_t sent() const {
+    return GetField<int64_t>(VT_SENT, 0);
+  }
+  int64_t clock_ms() const {
+    return GetField<int64_t>(VT_CLOCK_MS, 0);
+  }
+  int64_t agreed_ms() const {
+    return GetField<int64_t>(VT_AGREED_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::WindowCounts>> *windows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::WindowCounts>> *>(VT_WINDOWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NONCE) &&
+           verifier.VerifyString(nonce()) &&
+           VerifyField<int64_t>(verifier, VT_SENT, 8) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGREED_MS, 8) &&
+           VerifyOffset(verifier, VT_WINDOWS) &&
+           verifier.VerifyVector(windows()) &&
+           verifier.VerifyVectorOfTables(windows()) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageReportBuilder {
+  typedef UsageReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
+    fbb_.AddOffset(UsageReport::VT_NONCE, nonce);
+  }
+  void add_sent(int64_t sent) {
+    fbb_.AddElement<int64_t>(UsageReport::VT_SENT, sent, 0);
+  }
+  void add_clock_ms(int64_t clock_ms) {
+    fbb_.AddElement<int64_t>(UsageReport::VT_CLOCK_MS, clock_ms, 0);
+  }
+  void add_agreed_ms(int64_t agreed_ms) {
+    fbb_.AddElement<int64_t>(UsageReport::VT_AGREED_MS, agreed_ms, 0);
+  }
+  void add_windows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::WindowCounts>>> windows) {
+    fbb_.AddOffset(UsageReport::VT_WINDOWS, windows);
+  }
+  explicit UsageReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageReport> CreateUsageReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> nonce = 0,
+    int64_t sent = 0,
+    int64_t clock_ms = 0,
+    int64_t agreed_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorstack::wire::WindowCounts>>> windows = 0) {
+  UsageReportBuilder builder_(_fbb);
+  builder_.add_agreed_ms(agreed_ms);
+  builder_.add_clock_ms(clock_ms);
+  builder_.add_sent(sent);
+  builder_.add_windows(windows);
+  builder_.add_nonce(nonce);
+  return builder_.Finish();
+}
+
+struct UsageReport::Traits {
+  using type = UsageReport;
+  static auto constexpr Create = CreateUsageReport;
+};
+
+inline flatbuffers::Offset<UsageReport> CreateUsageReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *nonce = nullptr,
+    int64_t sent = 0,
+    int64_t clock_ms = 0,
+    int64_t agreed_ms = 0,
+    const std::vector<flatbuffers::Offset<camphorstack::wire::WindowCounts>> *windows = nullptr) {
+  auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
+  auto windows__ = windows ? _fbb.CreateVector<flatbuffers::Offset<camphorstack::wire::WindowCounts>>(*windows) : 0;
+  return camphorstack::wire::CreateUsageReport(
+      _fbb,
+      nonce__,
+      sent,
+      clock_ms,
+      agreed_ms,
+      windows__);
+}
+
+struct UsageReceipt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageReceiptBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FENCE = 4,
+    VT_SENT = 6,
+    VT_SETTLED = 8,
+    VT_AGREED_MS = 10
+  };
+  uint64_t fence() const {
+    return GetField<uint64_t>(VT_FENCE, 0);
+  }
+  int64_t sent() const {
+    return GetField<int64_t>(VT_SENT, 0);
+  }
+  int64_t settled() const {
+    return GetField<int64_t>(VT_SETTLED, 0);
+  }
+  int64_t agreed_ms() const {
+    return GetField<int64_t>(VT_AGREED_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT, 8) &&
+           VerifyField<int64_t>(verifier, VT_SETTLED, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGREED_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageReceiptBuilder {
+  typedef UsageReceipt Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fence(uint64_t fence) {
+    fbb_.AddElement<uint64_t>(UsageReceipt::VT_FENCE, fence, 0);
+  }
+  void add_sent(int64_t sent) {
+    fbb_.AddElement<int64_t>(UsageReceipt::VT_SENT, sent, 0);
+  }
+  void add_settled(int64_t settled) {
+    fbb_.AddElement<int64_t>(UsageReceipt::VT_SETTLED, settled, 0);
+  }
+  void add_agreed_ms(int64_t agreed_ms) {
+    fbb_.AddElement<int64_t>(UsageReceipt::VT_AGREED_MS, agreed_ms, 0);
+  }
+  explicit UsageReceiptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageReceipt> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageReceipt>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageReceipt> CreateUsageReceipt(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fence = 0,
+    int64_t sent = 0,
+    int64_t settled = 0,
+    int64_t agreed_ms = 0) {
+  UsageReceiptBuilder builder_(_fbb);
+  builder_.add_agreed_ms(agreed_ms);
+  builder_.add_settled(settled);
+  builder_.add_sent(sent);
+  builder_.add_fence(fence);
+  return builder_.Finish();
+}
+
+struct UsageReceipt::Traits {
+  using type = UsageReceipt;
+  static auto constexpr Create = CreateUsageReceipt;
+};
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   struct Traits;
@@ -3507,6 +3857,12 @@
   const camphorstack::wire::CoordinatorUpdate *body_as_CoordinatorUpdate() const {
     return body_type() == camphorstack::wire::Body::CoordinatorUpdate ? static_cast<const camphorstack::wire::CoordinatorUpdate *>(body()) : nullptr;
   }
+  const camphorstack::wire::UsageReport *body_as_UsageReport() const {
+    return body_type() == camphorstack::wire::Body::UsageReport ? static_cast<const camphorstack::wire::UsageReport *>(body()) : nullptr;
+  }
+  const camphorstack::wire::UsageReceipt *body_as_UsageReceipt() const {
+    return body_type() == camphorstack::wire::Body::UsageReceipt ? static_cast<const camphorstack::wire::UsageReceipt *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_VERSION, 2) &&
@@ -3615,6 +3971,14 @@
   return body_as_CoordinatorUpdate();
 }
 
+template<> inline const camphorstack::wire::UsageReport *Frame::body_as<camphorstack::wire::UsageReport>() const {
+  return body_as_UsageReport();
+}
+
+template<> inline const camphorstack::wire::UsageReceipt *Frame::body_as<camphorstack::wire::UsageReceipt>() const {
+  return body_as_UsageReceipt();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3777,6 +4141,14 @@
       auto ptr = reinterpret_cast<const camphorstack::wire::CoordinatorUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::UsageReport: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::UsageReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::UsageReceipt: {
+      auto ptr = reinterpret_cast<const camphorstack::wire::UsageReceipt *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -303,6 +303,8 @@
                 remove_fleet_item(state, name);
             }
             break;
+        case collection::usage:
+            break;
     }
 }
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -12,6 +12,7 @@
 #include "camphorstack/session_host/session_host_state.hpp"
 #include "camphorstack/session_host/share_members.hpp"
 #include "camphorstack/session_host/shutdown.hpp"
+#include "camphorstack/session_host/usage_duty.hpp"
 #include "camphorstack/support/log_value.hpp"
 #include "camphorstack/support/metric_label.hpp"
 
@@ -74,6 +75,7 @@
     member_list_tick(state, now);
     closing_tick(state, now);
     leader_changes_tick(state, now);
+    usage_tick(state, now);
     update_serving(state, now);
     shutdown_tick(state, now);
     catalog_relay_tick(state, now);
@@ -95,6 +97,7 @@
 /// Delivers the executor's results, until there are none left, and its actions.
 void drain_executor(session_host_state& state, instant now) {
     record_stray_answers(state);
+    count_started_statements(state);
     while (!state.executor.results.empty()) {
         for (auto& item : std::exchange(state.executor.results, {})) {
             if (item.origin != state.settings.self.id) {
@@ -158,7 +161,9 @@
         }
         return;
     }
-    receive_record_answer(state, answer, now);
+    if (!receive_usage_record_answer(state, answer, now)) {
+        receive_record_answer(state, answer, now);
+    }
 }
 
 struct peer_visitor {
@@ -190,6 +195,8 @@
         closing_tick(this->state, this->now);
         retry_waiting(this->state, this->now);
     }
+    void operator()(const usage_report& report) const { receive_usage_report(this->state, this->from, report, this->now); }
+    void operator()(const usage_receipt& receipt) const { receive_usage_receipt(this->state, this->from, receipt, this->now); }
     void operator()(const coordinator_update& update) const {
         adopt_coordinator(this->state, update.record, update.revision, this->now);
     }
@@ -245,6 +252,8 @@
     }
     void operator()(const catalog_answer& answer) const { receive_catalog_answer(this->state, answer, this->now); }
     void operator()(const promotion_answer& answer) const { receive_promotion_answer(this->state, answer, this->now); }
+    void operator()(const usage_answer& answer) const { receive_usage_answer(this->state, answer, this->now); }
+    void operator()(const wall_clock_read& event) const { receive_wall_clock(this->state, event, this->now); }
     void operator()(const peer_message& message) const {
         std::visit(peer_visitor{this->state, message.from, this->now}, message.body);
     }
@@ -388,6 +397,7 @@
     for (const auto& [code, count] : state.refused_messages) {
         out << "camphorstack_refused_messages_total{code=\"" << to_string(code) << "\"} " << count << '\n';
     }
+    render_usage_metrics(state, out);
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
--- a/src/camphorstack/session_host/session_host_events.hpp
+++ b/src/camphorstack/session_host/session_host_events.hpp
@@ -11,6 +11,7 @@
 #include "camphorstack/hosts/host_events.hpp"
 #include "camphorstack/sessions/session_events.hpp"
 #include "camphorstack/support/metrics.hpp"
+#include "camphorstack/usage/usage_call.hpp"
 
 namespace camphorstack {
 
@@ -25,10 +26,11 @@
 };
 
 /// Input of a session host.
-using session_host_event = std::variant<tick, settings_changed, session_requested, statement_received, message_refused,
-                                        session_ended, endpoint_connection_opened, endpoint_connection_ended,
-                                        endpoint_reply_received, catalog_answer_begun, catalog_answer, promotion_answer,
-                                        peer_message, peer_connected, peer_disconnected, peer_not_sent, stop_requested>;
+using session_host_event =
+    std::variant<tick, settings_changed, session_requested, statement_received, message_refused, session_ended,
+                 endpoint_connection_opened, endpoint_connection_ended, endpoint_reply_received, catalog_answer_begun,
+                 catalog_answer, promotion_answer, usage_answer, wall_clock_read, peer_message, peer_connected, peer_disconnected,
+                 peer_not_sent, stop_requested>;
 
 /// Log entry for a decision about a request or a change of the host's view of the fleet.
 struct decision_line {
@@ -40,9 +42,10 @@
 };
 
 /// Output of a session host.
-using session_host_action = std::variant<accept_session, reject_session, close_session, answer_statement,
-                                         open_endpoint_connection, close_endpoint_connection, send_endpoint_statements,
-                                         catalog_call, promotion_call, send_to_peer, request_sample, decision_line, host_stopped>;
+using session_host_action =
+    std::variant<accept_session, reject_session, close_session, answer_statement, open_endpoint_connection,
+                 close_endpoint_connection, send_endpoint_statements, catalog_call, promotion_call, usage_call, send_to_peer,
+                 request_sample, decision_line, host_stopped>;
 using session_host_actions = std::vector<session_host_action>;
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -10,6 +10,7 @@
 #include "camphorstack/coordination/coordination.hpp"
 #include "camphorstack/executors/executor.hpp"
 #include "camphorstack/hosts/member.hpp"
+#include "camphorstack/usage/usage_window.hpp"
 
 namespace camphorstack {
 
@@ -81,6 +82,7 @@
     session_entry_settings entry;
     executor_settings executor;
     coordination_settings coordination;
+    usage_settings usage;
     /// Hosts learn of a new member list with their next report, within half a second, so a former holder's share ends before its
     /// successor's begins. A disconnected host may use the old list until its evidence expires.
     share_settings shares{millis{1000}, millis{1100}, 6, 16, millis{0}, 6, millis{600}};
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -18,6 +18,8 @@
 #include "camphorstack/sessions/caller_session.hpp"
 #include "camphorstack/sessions/position_samples.hpp"
 #include "camphorstack/support/random.hpp"
+#include "camphorstack/usage/usage_counter.hpp"
+#include "camphorstack/usage/usage_holder.hpp"
 
 namespace camphorstack {
 
@@ -71,6 +73,14 @@
     instant received;
 };
 
+/// The host's part in the usage reports.
+struct usage_state {
+    usage_clock clock;
+    usage_counter counter;
+    usage_holder holder;  ///< In use while this host is the coordinator.
+    instant call_began;   ///< When the holder's call in flight was sent.
+};
+
 /// The complete state from which a session host makes its decisions.
 struct session_host_state {
     session_host_settings settings;
@@ -95,6 +105,7 @@
     instant next_link_check;                  ///< The kept links are not checked earlier.
     std::set<session_id> waiting_sessions;    ///< Sessions whose operation waits for tokens or for a leader.
     coordination_state coordination;
+    usage_state usage;
     std::map<workspace_id, operation_counts> counts;
     store_call_counts store_calls;
     std::map<result_code, std::uint64_t> access_refusals;  ///< Sessions and operations refused by the document, for the metrics.
--- a/src/camphorstack/session_host/session_host_task.cpp
+++ b/src/camphorstack/session_host/session_host_task.cpp
@@ -11,28 +11,46 @@
 /// Time limit for writing the last answers, so that a caller that does not read cannot delay the end of the process.
 constexpr millis drain_timeout{500};
 
+/// Readings only need to be recent when hosts compare their clocks.
+constexpr millis wall_reading_interval{1000};
+
 }  // namespace
 
 session_host_task::session_host_task(session_host_handle decisions, const session_links_factory& make_links, const clock& time,
-                                     std::function<void(const decision_line&)> log, std::function<void()> stopped)
-    : host(std::move(decisions)), source_of_time(time), on_stopped(std::move(stopped)), on_decision(std::move(log)) {
+                                     const wall_clock& wall, std::function<void(const decision_line&)> log,
+                                     std::function<void()> stopped)
+    : host(std::move(decisions)),
+      source_of_time(time),
+      source_of_date(wall),
+      on_stopped(std::move(stopped)),
+      on_decision(std::move(log)) {
     this->links =
         make_links([this](session_host_event event) { this->on_event(std::move(event)); },
                    monitoring_callbacks{
                        [this]() { return is_ready(*this->host, this->source_of_time.now()); },
                        [this]() { return this->metrics.render() + render_metrics(*this->host, this->source_of_time.now()); }});
+    this->read_wall_clock();
     this->on_event(tick{});
     this->schedule_tick();
 }
 
 session_host_task::~session_host_task() = default;
 
+void session_host_task::read_wall_clock() {
+    const auto now = this->source_of_time.now();
+    if (now >= this->next_wall_reading) {
+        this->next_wall_reading = now + wall_reading_interval;
+        this->on_event(wall_clock_read{this->source_of_date.unix_ms()});
+    }
+}
+
 void session_host_task::schedule_tick() {
     const auto now = this->source_of_time.now();
     const auto wait = std::max<std::int64_t>(1, (next_tick(*this->host, now) - now).count);
     const auto on_tick = +[](gpointer self) -> gboolean {
         auto* const task = static_cast<session_host_task*>(self);
         task->ticker.release();
+        task->read_wall_clock();
         task->on_event(tick{});
         task->schedule_tick();
         return G_SOURCE_REMOVE;
--- a/src/camphorstack/session_host/session_host_task.hpp
+++ b/src/camphorstack/session_host/session_host_task.hpp
@@ -15,10 +15,10 @@
 /// step are queued until the step has ended.
 class session_host_task {
 public:
-    /// Calls `log` for each decision, and `stopped` once, from the main loop, when the host has shut down. `time` must outlive
-    /// the task. Throws io_error if a link cannot be opened.
+    /// Reads `wall` about once a second. Calls `log` for each decision, and `stopped` once, from the main loop, when the host has
+    /// shut down. `time` and `wall` must outlive the task. Throws io_error if a link cannot be opened.
     session_host_task(session_host_handle decisions, const session_links_factory& make_links, const clock& time,
-                      std::function<void(const decision_line&)> log, std::function<void()> stopped);
+                      const wall_clock& wall, std::function<void(const decision_line&)> log, std::function<void()> stopped);
     session_host_task(const session_host_task&) = delete;
     session_host_task& operator=(const session_host_task&) = delete;
     session_host_task(session_host_task&&) = delete;
@@ -32,10 +32,13 @@
     void carry_out(const session_host_action& action);
     void schedule_tick();
     void on_host_stopped();
+    void read_wall_clock();
 
     session_host_handle host;
     request_metrics metrics;
     const clock& source_of_time;
+    const wall_clock& source_of_date;
+    instant next_wall_reading;
     std::function<void()> on_stopped;
     std::function<void(const decision_line&)> on_decision;
     std::deque<session_host_event> waiting;
--- a/src/camphorstack/session_host/shutdown.cpp
+++ b/src/camphorstack/session_host/shutdown.cpp
@@ -5,6 +5,7 @@
 
 #include "camphorstack/coordination/coordinator.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
+#include "camphorstack/session_host/usage_duty.hpp"
 #include "camphorstack/support/log_value.hpp"
 
 namespace camphorstack {
@@ -52,6 +53,8 @@
     const auto sessions = state.sessions.size();
     state.stopped = true;
     end_sessions(state, now);
+    count_started_statements(state);
+    send_last_usage(state, now);
     announce_shutdown(state);
     log_decision(state, "stopped",
                  "sessions=" + std::to_string(sessions) + " unanswered=" + std::to_string(unanswered) +
@@ -71,6 +74,7 @@
     state.coordination.next_report = now;
     log_decision(state, "stop_requested", "sessions=" + std::to_string(state.sessions.size()));
     coordinator_role_tick(state, now);
+    send_last_usage(state, now);
 }
 
 bool refuses_new_sessions(const session_host_state& state, instant now) {
--- a/src/camphorstack/settings/parse_session_settings.cpp
+++ b/src/camphorstack/settings/parse_session_settings.cpp
@@ -46,8 +46,13 @@
     reader.optional_duration("stop_grace", one_millisecond, host.stop_grace);
     reader.optional_duration("key_withdrawal", one_millisecond, key_withdrawal);
     reader.optional_duration("document_in_force", one_millisecond, document_in_force);
+    reader.optional_duration("usage_window", one_millisecond, host.usage.window);
+    reader.optional_duration("usage_due", one_millisecond, host.usage.due);
     host.entry.document_lifetime = key_withdrawal * document_lifetime_percent / percent;
     host.entry.refusal_lifetime = document_in_force * document_lifetime_percent / percent;
+    if ((host.usage.window > millis{0}) != (host.usage.due > millis{0})) {
+        reader.add_error("usage_window", "and usage_due must be given together");
+    }
     reader.reject_unknown_keys();
     if (host.regions.find(host.self.location) == host.regions.end() && errors.lines.empty()) {
         reader.add_error("data_centre", "is not among data_centres");
--- a/src/camphorstack/support/clock.hpp
+++ b/src/camphorstack/support/clock.hpp
@@ -50,6 +50,26 @@
     [[nodiscard]] virtual instant now() const = 0;
 };
 
+/// Source of the time of day. It may step forward and backward.
+class wall_clock {
+public:
+    wall_clock() = default;
+    wall_clock(const wall_clock&) = delete;
+    wall_clock& operator=(const wall_clock&) = delete;
+    wall_clock(wall_clock&&) = delete;
+    wall_clock& operator=(wall_clock&&) = delete;
+    virtual ~wall_clock() = default;
+
+    /// Returns the milliseconds since the start of 1970.
+    [[nodiscard]] virtual std::int64_t unix_ms() const = 0;
+};
+
+/// The machine's wall clock.
+class system_wall_clock final : public wall_clock {
+public:
+    [[nodiscard]] std::int64_t unix_ms() const override;
+};
+
 /// The machine's monotonic clock. It does not count the time for which the machine was suspended.
 class monotonic_clock final : public clock {
 public:
--- a/tests/platform/object_store.cpp
+++ b/tests/platform/object_store.cpp
@@ -83,10 +83,11 @@
     const std::string prefix = "/camphorstack/objects/";
     if (this->forced_status != 0) {
         this->respond(message, this->forced_status, "{}");
-    } else if (path == "/promotion") {
+    } else if (path == "/promotion" || path == "/usage") {
         SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-        this->promotions.push_back(std::string(soup_message_headers_get_one(headers, "Lease-Holder")) + " " +
-                                   soup_message_headers_get_one(headers, "Fencing-Token") + " " + body_of(message));
+        auto& received = path == "/promotion" ? this->promotions : this->usages;
+        received.push_back(std::string(soup_message_headers_get_one(headers, "Lease-Holder")) + " " +
+                           soup_message_headers_get_one(headers, "Fencing-Token") + " " + body_of(message));
         this->respond(message, 200, "{}");
     } else if (path.starts_with(prefix)) {
         const auto rest = path.substr(prefix.size());
@@ -94,6 +95,11 @@
         const auto watched = query_value(query, "Watch");
         if (std::string(soup_server_message_get_method(message)) != "GET") {
             this->answer_object(message, kind, body_of(message));
+        } else if (rest.find('/') != std::string::npos) {
+            const auto name = rest.substr(rest.find('/') + 1);
+            const auto found = this->kinds[kind].find(name);
+            const bool exists = found != this->kinds[kind].end();
+            this->respond(message, exists ? 200 : 404, exists ? this->object_text(name, found->second) : "{}");
         } else if (watched.empty()) {
             std::string items;
             for (const auto& [name, item] : this->kinds[kind]) {
--- a/tests/platform/object_store.hpp
+++ b/tests/platform/object_store.hpp
@@ -40,6 +40,7 @@
     std::map<std::string, std::map<std::string, object>> kinds;
     std::vector<std::string> requests;    ///< "METHOD PATH?QUERY BODY" of each call.
     std::vector<std::string> promotions;  ///< "HOLDER FENCE BODY" of each promotion.
+    std::vector<std::string> usages;      ///< "HOLDER FENCE BODY" of each usage report.
     unsigned forced_status = 0;           ///< If not 0, the status of all answers.
     bool is_silent = false;               ///< Calls are carried out but never answered.
     bool history_gone = false;            ///< Watches are answered with status 410.
--- a/tests/platform/path.tests.cpp
+++ b/tests/platform/path.tests.cpp
@@ -106,11 +106,14 @@
     object_store store;
     std::vector<catalog_answer> answers;
     std::vector<promotion_answer> promoted;
+    std::vector<usage_answer> reported;
     platform::store_link link(store.address(), store.address(), millis{200}, [&](session_host_event event) {
         if (const auto* answer = std::get_if<catalog_answer>(&event)) {
             answers.push_back(*answer);
         } else if (const auto* promotion = std::get_if<promotion_answer>(&event)) {
             promoted.push_back(*promotion);
+        } else if (const auto* usage = std::get_if<usage_answer>(&event)) {
+            reported.push_back(*usage);
         }
     });
     const catalog_call list{1, collection::endpoints, catalog_operation::list, "", 0, millis{0}, ""};
@@ -143,6 +146,40 @@
         store.is_silent = true;
         CHECK(ask(list).status == catalog_status::no_answer);
     }
+    SECTION("usage report") {
+        const auto status_of = [&](unsigned status) {
+            store.forced_status = status;
+            reported.clear();
+            usage_call call;
+            call.id = 11;
+            call.usage.window = 353445120;
+            call.usage.counts = {{"dewu331", 7}, {"miny420", 412}};
+            call.holder = "front-1";
+            call.fence = 12;
+            link.carry_out(call);
+            REQUIRE(run_until([&] { return !reported.empty(); }));
+            CHECK(reported.front().id == 11);
+            return reported.front().status;
+        };
+        CHECK(status_of(0) == usage_status::accepted);
+        CHECK(store.usages ==
+              std::vector<std::string>{R"(front-1 12 {"Window":353445120,"Counts":{"dewu331":7,"miny420":412}})"});
+        CHECK(status_of(429) == usage_status::not_done);
+        CHECK(status_of(503) == usage_status::not_done);
+        CHECK(status_of(409) == usage_status::refused);
+        store.is_silent = true;
+        CHECK(status_of(0) == usage_status::no_answer);
+    }
+    SECTION("one object") {
+        const catalog_call get{3, collection::usage, catalog_operation::get, "sent", 0, millis{0}, ""};
+        CHECK(ask(get).status == catalog_status::missing);
+        store.put("usage", "sent", R"({"window":3,"counts":[]})");
+        const auto found = ask(get);
+        REQUIRE(found.status == catalog_status::done);
+        REQUIRE(found.items.size() == 1);
+        CHECK(found.items.front().revision > 0);
+        CHECK(found.items.front().content == catalog_content(fleet_item{R"({"window":3,"counts":[]})"}));
+    }
     SECTION("promotion") {
         link.carry_out(promotion_call{9, "db", "i-1", "front-1", 4});
         REQUIRE(run_until([&] { return !promoted.empty(); }));
--- a/tests/platform/platform_fixture.hpp
+++ b/tests/platform/platform_fixture.hpp
@@ -37,7 +37,7 @@
             return opened;
         };
         this->task = std::make_unique<session_host_task>(
-            make_session_host(this->settings.host, random_source(1), this->time.now()), make_links, this->time,
+            make_session_host(this->settings.host, random_source(1), this->time.now()), make_links, this->time, this->wall,
             [](const decision_line&) {}, [this] { this->stopped = true; });
         REQUIRE(tests::run_until([this] { return this->monitoring.is_ready(); }));
         // The host gets its tokens with the first member list.
@@ -76,6 +76,7 @@
     }
 
     suspend_aware_clock time;
+    system_wall_clock wall;
     fd_watcher sockets;
     object_store store;
     session_tests::database_model model{"db", {"amman-a", "amman-a"}};
--- a/tests/session_fleet/session_fleet.cpp
+++ b/tests/session_fleet/session_fleet.cpp
@@ -139,6 +139,7 @@
     settings.nonce = id + "-" + std::to_string(this->next_order);
     settings.regions = {{"amman-a", "amman"}, {"irbid-a", "irbid"}, {"aqaba-a", "aqaba"}};
     settings.stop_grace = this->options.stop_grace;
+    settings.usage = this->options.usage;
     return settings;
 }
 
@@ -272,6 +273,9 @@
 }
 
 void session_fleet::tick_host(const host_id& host, std::uint64_t process) {
+    const auto error = this->clock_errors.find(host);
+    this->deliver(host, process,
+                  wall_clock_read{this->unix_ms() + (error == this->clock_errors.end() ? 0 : error->second.count)});
     this->deliver(host, process, tick{});
     if (this->hosts.at(host).process == process && this->hosts.at(host).alive) {
         const auto wait = next_tick(*this->hosts.at(host).state, this->time) - this->time;
@@ -368,6 +372,8 @@
         this->carry_out(host, *call);
     } else if (const auto* promotion = std::get_if<promotion_call>(&action)) {
         this->carry_out(host, *promotion);
+    } else if (const auto* usage = std::get_if<usage_call>(&action)) {
+        this->carry_out(host, *usage);
     } else if (const auto* message = std::get_if<send_to_peer>(&action)) {
         this->carry_out(host, *message);
     } else if (const auto* line = std::get_if<decision_line>(&action)) {
@@ -508,6 +514,16 @@
                         promotion_answer{action.id, accepted ? promotion_status::accepted : promotion_status::refused});
 }
 
+void session_fleet::carry_out(const host_id& host, const usage_call& action) {
+    const bool arrives = !this->is_cut(host, "platform");
+    if (arrives) {
+        this->usages.push_back({this->unix_ms(), action});
+    }
+    const bool answered = arrives && !this->usage_answers_lost;
+    this->deliver_after(answered ? store_latency * 2 : broken_connection_timeout, host,
+                        usage_answer{action.id, answered ? usage_status::accepted : usage_status::no_answer});
+}
+
 void session_fleet::carry_out(const host_id& host, const send_to_peer& action) {
     const auto target = this->hosts.find(action.peer);
     const auto delay = this->delay_between(host, action.peer);
--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -31,9 +31,16 @@
     int synchronous_replicas = 0;
     millis statement_timeout{800};
     millis stop_grace{6000};  ///< Time from the request to stop a host until it is killed.
+    usage_settings usage;     ///< No usage is reported if it names no window.
     std::uint64_t seed = 1;
 };
 
+/// A usage report that the platform received.
+struct received_usage {
+    std::int64_t unix_ms = 0;  ///< True time of its arrival.
+    usage_call call;
+};
+
 /// An answer that a caller received.
 struct received_answer {
     instant asked;
@@ -102,6 +109,11 @@
 
     store_model store;
     std::vector<promotion_call> promotions;
+    std::vector<received_usage> usages;
+    bool usage_answers_lost = false;         ///< The platform takes usage reports, but its answers are lost.
+    std::map<host_id, millis> clock_errors;  ///< Of the hosts' wall clocks.
+    /// Returns the true time in milliseconds since the start of 1970.
+    [[nodiscard]] std::int64_t unix_ms() const { return true_offset + this->time.since_start; }
     std::set<endpoint_id> lagging;  ///< Instances that do not replicate.
     std::vector<std::string> log;   ///< Decision log: "TIME HOST KIND TEXT" for each entry.
     bool store_is_down = false;
@@ -113,6 +125,9 @@
     bool cuts_reset = false;  ///< Endpoints behind a cut reset and refuse connections at once, instead of not answering.
 
 private:
+    /// True time at the start of the hosts' steady clocks; the start of a window of 5 s, and of one of 2 s.
+    static constexpr std::int64_t true_offset = 1'700'000'000'000;
+
     struct running_host {
         session_host_handle state;
         bool alive = false;
@@ -151,6 +166,7 @@
     void carry_out(const host_id& host, const send_endpoint_statements& action);
     void carry_out(const host_id& host, const catalog_call& action);
     void carry_out(const host_id& host, const promotion_call& action);
+    void carry_out(const host_id& host, const usage_call& action);
     void carry_out(const host_id& host, const send_to_peer& action);
 
     endpoint_reply reply_of(database_model& owner, instance_model& instance, connection_id number,
--- a/tests/session_fleet/store_model.cpp
+++ b/tests/session_fleet/store_model.cpp
@@ -40,6 +40,13 @@
             done(answer);
             return;
         }
+        case catalog_operation::get:
+            answer.status = found == items.end() ? catalog_status::missing : catalog_status::done;
+            if (found != items.end()) {
+                answer.items.push_back(found->second);
+            }
+            done(answer);
+            return;
         case catalog_operation::decode:
             return;
     }
--- a/tests/settings/parse_session_settings.tests.cpp
+++ b/tests/settings/parse_session_settings.tests.cpp
@@ -46,6 +46,7 @@
     CHECK(settings.host.self == member{"front-1", "10.1.0.1:7560", "10.1.0.1:8465", "amman-a"});
     CHECK(settings.host.regions == std::map<data_centre_id, std::string>{{"amman-a", "amman"}, {"irbid-a", "irbid"}});
     CHECK(settings.host.stop_grace == millis{6000});
+    CHECK(settings.host.usage == usage_settings{});
     CHECK(settings.host.entry.document_lifetime == millis{4900});
     CHECK(settings.host.entry.refusal_lifetime == millis{2940});
     CHECK(settings.store_address == "10.200.1.7:8466");
@@ -54,6 +55,14 @@
     CHECK_FALSE(is_session_settings("{{"));
 }
 
+TEST_CASE("a usage window needs the time at which it is due", "[settings][session-settings][usage]") {
+    const auto usage = parse_session_settings("usage_window: 5s\nusage_due: 10s\n" + complete_settings, "f.yaml").host.usage;
+    CHECK(usage.window == millis{5000});
+    CHECK(usage.due == millis{10000});
+    CHECK(errors_of("usage_window: 5s\n" + complete_settings).find("usage_due") != std::string::npos);
+    CHECK(errors_of("usage_due: 5\n" + complete_settings).find("usage_due") != std::string::npos);
+}
+
 TEST_CASE("every error of a session host's settings is reported with its line", "[settings][session-settings]") {
     for (const auto* key : {"id", "data_centre", "peer_address", "callers_address", "readiness_address", "metrics_address",
                             "store_address", "promotion_address", "fleet_secret"}) {
