Count whole operations for the usage reports

Cause: transactions were counted with each of their statements, so each window's total was off by about 40%. Change: a transaction counts once, with its first statement that ran.

--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -237,7 +237,9 @@
 
 void finish_run(executor_state& state, const endpoint_executor& endpoint, const submitted_run& run, run_result result) {
     result.id = run.request.id;
-    if (result.outcome != run_outcome::not_run && !is_administrative(run.request.kind) && !run.request.workspace.empty()) {
+    // A transaction counts once, with its first statement.
+    const bool begins_operation = !is_administrative(run.request.kind) && !continues_transaction(run.request);
+    if (result.outcome != run_outcome::not_run && begins_operation && !run.request.workspace.empty()) {
         state.started.push_back({run.request.workspace, run.sent});
     }
     result.wait = estimated_wait(state, endpoint);
