Let tests name a fleet's options without the usage settings

Cause: three test files did not compile, as the new option had no initializer of its own. The whole suite has not been linked or run with this change.

--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -31,8 +31,8 @@
     int synchronous_replicas = 0;
     millis statement_timeout{800};
     millis stop_grace{6000};  ///< Time from the request to stop a host until it is killed.
-    usage_settings usage;     ///< No usage is reported if it names no window.
     std::uint64_t seed = 1;
+    usage_settings usage = {};  ///< No usage is reported if it names no window.
 };
 
 /// A usage report that the platform received.
