Queue runs at an endpoint by what waits on them, and refuse at arrival

Callers saw: while one workspace sent many times its usual, or a burst met an endpoint, runs of all workspaces were refused alike, as the queue was ordered by priority and arrival and bounded by one mean service time.

Change: executors/run_order. Runs of open transactions go first, then runs that can meet their target, by priority and in turns of the workspaces, then those that have missed it. The turns are workspaces/fair_lanes, which fair_queue uses too. A run is refused at arrival if the work before it, by the mean time of its kind and with the runs that will overtake it, is too long. RunRequest has start_target_ms. No sort of the queue at each event.

Found by the model: while the statements in flight were at their limit, no connection was opened for a workspace that had none, and its runs were held until refused. It now gets one, two at a time.

Tests: executor.tests.cpp sets service.all where it set mean_service_ms (the field's new name); nothing else of the earlier tests changed.

--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -13,11 +13,15 @@
     return static_cast<std::size_t>(std::max(1, endpoint.entry.slots) + state.settings.extra_in_flight);
 }
 
-std::size_t count_opening(const executor_state& state, const endpoint_executor& endpoint, const workspace_id* workspace) {
-    return static_cast<std::size_t>(std::ranges::count_if(endpoint.connections, [&](connection_id id) {
-        const auto& connection = state.connections.at(id);
-        return connection.stage == connection_stage::opening && (workspace == nullptr || connection.workspace == *workspace);
-    }));
+/// Returns the number of connections that are being opened, by workspace.
+std::map<workspace_id, std::size_t> count_opening(const executor_state& state, const endpoint_executor& endpoint) {
+    std::map<workspace_id, std::size_t> opening;
+    for (const auto id : endpoint.connections) {
+        if (const auto& connection = state.connections.at(id); connection.stage == connection_stage::opening) {
+            ++opening[connection.workspace];
+        }
+    }
+    return opening;
 }
 
 /// Returns true if the answer to a further BEGIN can be told from repeated answers to earlier ones, since the log has grown.
@@ -130,7 +134,7 @@
 bool try_start(executor_state& state, endpoint_executor& endpoint, submitted_run& run, instant now) {
     const auto& request = run.request;
     if (!is_run_allowed(endpoint, request, now)) {
-        refuse_run(state, endpoint, run, result_code::busy, "this host may not use the endpoint as the primary now");
+        refuse_run(state, endpoint, run, result_code::busy, no_lease_reason);
         return true;
     }
     if (continues_transaction(request)) {
@@ -156,20 +160,72 @@
     return false;
 }
 
-/// Opens connections for workspaces whose queued runs have none, up to the limit of statements in flight.
+std::set<workspace_id> connected_workspaces(const executor_state& state, const endpoint_executor& endpoint) {
+    std::set<workspace_id> connected;
+    for (const auto id : endpoint.connections) {
+        connected.insert(state.connections.at(id).workspace);
+    }
+    return connected;
+}
+
+/// Opens connections for workspaces whose queued runs have none, in the order of turns and up to the limit of statements in
+/// flight. While that limit is reached, workspaces without any connection still get one, a few at a time: without it they would
+/// lose their turns to those that have one.
 void open_missing_connections(executor_state& state, endpoint_executor& endpoint, instant now) {
+    const auto limit = in_flight_limit(state, endpoint);
+    const auto opening = count_opening(state, endpoint);
+    const auto connected = connected_workspaces(state, endpoint);
+    std::size_t opened = 0;
+    for (const auto& [workspace, count] : opening) {
+        opened += count;
+    }
+    const auto in_flight = runs_in_flight(state, endpoint);
+    const auto limit_when_full = static_cast<std::size_t>(std::max(1, state.settings.extra_in_flight));
     std::map<workspace_id, std::size_t> wanted;
-    auto expected = runs_in_flight(state, endpoint) + count_opening(state, endpoint, nullptr);
-    for (const auto& run : endpoint.queue) {
-        const bool needs_connection = run.request.transaction == 0 || run.request.start != transaction_start::none;
-        if (!needs_connection || ++wanted[run.request.workspace] <= count_opening(state, endpoint, &run.request.workspace)) {
-            continue;
+    for (const auto& [turn, runs] : endpoint.queue.turns) {
+        for (std::size_t round = 0; round < limit; ++round) {
+            for (const auto& workspace : runs.lanes.round_robin) {
+                const auto& items = runs.lanes.waiting.at(workspace);
+                if (round >= items.size() || continues_transaction(items[round].request)) {
+                    continue;
+                }
+                const bool is_full = in_flight + opened >= limit;
+                if (is_full && opened >= limit_when_full) {
+                    return;
+                }
+                const auto found = opening.find(workspace);
+                const bool is_missing = ++wanted[workspace] > (found == opening.end() ? 0 : found->second);
+                if (is_missing && (!is_full || (wanted[workspace] == 1 && !connected.contains(workspace)))) {
+                    open_connection_for(state, endpoint, items[round].request, now);
+                    ++opened;
+                }
+            }
         }
-        if (expected >= in_flight_limit(state, endpoint)) {
+    }
+}
+
+/// Returns the workspaces of the connections that a run outside of an open transaction may use.
+std::set<workspace_id> idle_workspaces(const executor_state& state, const endpoint_executor& endpoint) {
+    std::set<workspace_id> idle;
+    for (const auto id : endpoint.connections) {
+        const auto& connection = state.connections.at(id);
+        if (connection.stage == connection_stage::idle && !connection.transaction) {
+            idle.insert(connection.workspace);
+        }
+    }
+    return idle;
+}
+
+/// Sends runs that need a free connection, while statements in flight are below their limit.
+void start_waiting(executor_state& state, endpoint_executor& endpoint, instant now) {
+    while (!endpoint.queue.turns.empty() && runs_in_flight(state, endpoint) < in_flight_limit(state, endpoint)) {
+        const auto idle = idle_workspaces(state, endpoint);
+        const auto accept = [&](submitted_run& run) {
+            return idle.contains(run.request.workspace) && try_start(state, endpoint, run, now);
+        };
+        if (idle.empty() || !take_run(endpoint.queue, run_rank::in_time, run_rank::late, accept)) {
             return;
         }
-        open_connection_for(state, endpoint, run.request, now);
-        ++expected;
     }
 }
 
@@ -218,19 +274,10 @@
 }
 
 void dispatch_runs(executor_state& state, endpoint_executor& endpoint, instant now) {
-    // Statements of open transactions go first, since the transactions hold connections. The others follow by priority and in
-    // order of arrival.
-    std::ranges::stable_sort(endpoint.queue, {}, [](const submitted_run& run) {
-        return std::pair(continues_transaction(run.request) ? 0 : 1, run.request.priority);
-    });
-    auto waiting = std::exchange(endpoint.queue, {});
-    std::deque<submitted_run> remaining;
-    for (auto& run : waiting) {
-        if (!try_start(state, endpoint, run, now)) {
-            remaining.push_back(std::move(run));
-        }
+    const auto accept = [&](submitted_run& run) { return try_start(state, endpoint, run, now); };
+    while (take_run(endpoint.queue, run_rank::holds_connection, run_rank::holds_connection, accept)) {
     }
-    endpoint.queue = std::move(remaining);
+    start_waiting(state, endpoint, now);
     open_missing_connections(state, endpoint, now);
 }
 
--- a/src/camphorstack/executors/dispatch_runs.hpp
+++ b/src/camphorstack/executors/dispatch_runs.hpp
@@ -4,8 +4,11 @@
 
 namespace camphorstack {
 
-/// Sends queued runs to the endpoint in the order of their priority, up to the limit of statements in flight, and opens
-/// connections for runs that have none.
+/// Reason for which a run is refused that needs a lease which this host does not have.
+constexpr const char* no_lease_reason = "this host may not use the endpoint as the primary now";
+
+/// Sends queued runs to the endpoint in the order of their turns, up to the limit of statements in flight, and opens connections
+/// for runs that have none.
 void dispatch_runs(executor_state& state, endpoint_executor& endpoint, instant now);
 
 /// Returns the number of runs in flight at the endpoint.
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -12,8 +12,10 @@
 
 namespace {
 
-/// Weight of the newest answer in the moving average of the service time.
-constexpr double newest_weight = 0.1;
+/// Part of the queue timeout that the expected wait of a run may take when it arrives. The rest is for the error of the estimate:
+/// a run that is refused after its wait has cost its caller that time.
+constexpr std::int64_t acceptable_wait_percent = 80;
+constexpr std::int64_t percent = 100;
 
 endpoint_executor* find_endpoint(executor_state& state, const endpoint_id& id) {
     const auto found = state.endpoints.find(id);
@@ -117,13 +119,12 @@
     endpoint.last_refusal = now;
 }
 
-void update_mean_service(const executor_state& state, endpoint_executor& endpoint, millis in_flight_time) {
+void update_service_times(const executor_state& state, endpoint_executor& endpoint, run_kind kind, millis in_flight_time) {
     const auto slots = std::max(1, endpoint.entry.slots);
     const auto in_flight = std::max<std::size_t>(runs_in_flight(state, endpoint), 1);
     // Statements beyond the slots wait at the endpoint, so only a part of the time is service time.
     const double share = std::min(1.0, static_cast<double>(slots) / static_cast<double>(in_flight));
-    const double service = static_cast<double>(in_flight_time.count) * share;
-    endpoint.mean_service_ms += newest_weight * (service - endpoint.mean_service_ms);
+    record_service(endpoint.service, kind, static_cast<double>(in_flight_time.count) * share);
 }
 
 /// Returns true if a success comes too late to count. An endpoint that was replaced as the leader may still answer, so a write or
@@ -180,7 +181,7 @@
     const auto run = std::move(*std::exchange(connection.run, std::nullopt));
     const auto& request = run.request;
     if (!is_administrative(request.kind)) {
-        update_mean_service(state, endpoint, now - connection.since);
+        update_service_times(state, endpoint, request.kind, now - connection.since);
     }
     auto result = result_of(endpoint, request, reply);
     if (is_too_late(state, endpoint, request, now) && result.outcome == run_outcome::done) {
@@ -247,16 +248,17 @@
 
 void refuse_queue(executor_state& state, endpoint_executor& endpoint, const std::function<bool(const submitted_run&)>& matches,
                   const char* reason) {
-    auto waiting = std::exchange(endpoint.queue, {});
-    for (auto& run : waiting) {
-        if (matches(run)) {
-            refuse_run(state, endpoint, run, result_code::busy, reason);
-        } else {
-            endpoint.queue.push_back(std::move(run));
-        }
+    for (const auto& run : withdraw_runs(endpoint.queue, matches)) {
+        refuse_run(state, endpoint, run, result_code::busy, reason);
     }
 }
 
+/// Refuses queued runs that need a lease which this host no longer has.
+void refuse_without_lease(executor_state& state, endpoint_executor& endpoint, instant now) {
+    refuse_queue(
+        state, endpoint, [&](const submitted_run& run) { return !is_run_allowed(endpoint, run.request, now); }, no_lease_reason);
+}
+
 /// Refuses queued runs and ends connections with transactions or runs that need a lease of another round than `kept`.
 void end_leader_work(executor_state& state, endpoint_executor& endpoint, leader_round kept) {
     refuse_queue(
@@ -297,14 +299,14 @@
             give_up_connection(state, endpoint, id, now);
         }
     }
-    auto waiting = std::exchange(endpoint.queue, {});
-    for (auto& run : waiting) {
-        if (now - run.arrived >= run.request.queue_timeout) {
-            refuse_run(state, endpoint, run, result_code::busy, "no slot or connection of the endpoint became free in time");
-        } else {
-            endpoint.queue.push_back(std::move(run));
-        }
+    refuse_without_lease(state, endpoint, now);
+    const auto waited =
+        withdraw_runs(endpoint.queue, [now](const submitted_run& run) { return now - run.arrived >= run.request.queue_timeout; });
+    for (const auto& run : waited) {
+        ++endpoint.totals.refused_after_wait;
+        refuse_run(state, endpoint, run, result_code::busy, "no slot or connection of the endpoint became free in time");
     }
+    endpoint.totals.late += mark_late_runs(endpoint.queue, now);
     dispatch_runs(state, endpoint, now);
 }
 
@@ -376,6 +378,13 @@
     return match;
 }
 
+/// Returns the time until a slot becomes free for a run behind the given work of queued runs.
+millis wait_behind(const executor_state& state, const endpoint_executor& endpoint, double queued_ms) {
+    const auto slots = static_cast<double>(std::max(1, endpoint.entry.slots));
+    const double in_flight_ms = (static_cast<double>(runs_in_flight(state, endpoint)) - slots + 1) * endpoint.service.all;
+    return millis{static_cast<std::int64_t>(std::lround(std::max(0.0, queued_ms + in_flight_ms) / slots))};
+}
+
 /// Handles the answer that the connection waits for.
 void take_answer(executor_state& state, endpoint_executor& endpoint, executor_connection& connection, const endpoint_reply& reply,
                  instant now) {
@@ -451,6 +460,7 @@
     if (ended) {
         end_leader_work(state, *found, lease ? lease->round : 0);
     }
+    refuse_without_lease(state, *found, now);
     dispatch_runs(state, *found, now);
 }
 
@@ -474,18 +484,23 @@
                    "this host does not use the endpoint");
         return;
     }
-    if (!continues_transaction(run.request) && !is_administrative(run.request.kind) &&
-        estimated_wait(state, *endpoint) > run.request.queue_timeout) {
+    if (!is_run_allowed(*endpoint, run.request, now)) {
+        refuse_run(state, *endpoint, run, result_code::busy, no_lease_reason);
+        return;
+    }
+    const bool may_refuse = !continues_transaction(run.request) && !is_administrative(run.request.kind);
+    if (may_refuse && expected_wait(state, *endpoint, run, now) > run.request.queue_timeout * acceptable_wait_percent / percent) {
+        ++endpoint->totals.refused_at_arrival;
         refuse_run(state, *endpoint, run, result_code::busy, "the endpoint's queue is too long");
         return;
     }
-    endpoint->queue.push_back(std::move(run));
+    add_run(endpoint->queue, std::move(run), endpoint->service, now);
     dispatch_runs(state, *endpoint, now);
 }
 
 void end_transaction(executor_state& state, const transaction_key& transaction, instant now) {
     for (auto& [id, endpoint] : state.endpoints) {
-        std::erase_if(endpoint.queue, [&](const submitted_run& run) {
+        withdraw_runs(endpoint.queue, [&](const submitted_run& run) {
             return run.origin == transaction.origin && run.request.transaction == transaction.number;
         });
     }
@@ -503,7 +518,7 @@
 
 void drop_origin(executor_state& state, const host_id& origin, instant now) {
     for (auto& [id, endpoint] : state.endpoints) {
-        std::erase_if(endpoint.queue, [&](const submitted_run& run) { return run.origin == origin; });
+        withdraw_runs(endpoint.queue, [&](const submitted_run& run) { return run.origin == origin; });
     }
     std::vector<transaction_key> open;
     for (const auto& [key, connection] : state.transactions) {
@@ -588,11 +603,12 @@
     }
 }
 
+millis expected_wait(const executor_state& state, const endpoint_executor& endpoint, const submitted_run& run, instant now) {
+    return wait_behind(state, endpoint, work_ahead_ms(endpoint.queue, run, endpoint.service, endpoint.entry.slots, now));
+}
+
 millis estimated_wait(const executor_state& state, const endpoint_executor& endpoint) {
-    const auto slots = static_cast<double>(std::max(1, endpoint.entry.slots));
-    const auto ahead = static_cast<double>(endpoint.queue.size() + runs_in_flight(state, endpoint));
-    const double rounds = std::max(0.0, ahead - slots + 1) / slots;
-    return millis{static_cast<std::int64_t>(std::lround(rounds * endpoint.mean_service_ms))};
+    return wait_behind(state, endpoint, queued_work_ms(endpoint.queue, endpoint.service));
 }
 
 bool is_suspected(const executor_state& state, const endpoint_executor& endpoint, instant now) {
@@ -605,7 +621,7 @@
 std::size_t count_open_work(const executor_state& state) {
     std::size_t count = state.transactions.size();
     for (const auto& [id, endpoint] : state.endpoints) {
-        count += endpoint.queue.size() + runs_in_flight(state, endpoint);
+        count += count_runs(endpoint.queue) + runs_in_flight(state, endpoint);
     }
     return count;
 }
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -2,7 +2,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,6 +12,7 @@
 #include "camphorstack/executors/answer_matching.hpp"
 #include "camphorstack/executors/endpoint_connection.hpp"
 #include "camphorstack/executors/run.hpp"
+#include "camphorstack/executors/run_order.hpp"
 
 namespace camphorstack {
 
@@ -44,13 +44,6 @@
     friend auto operator<=>(const transaction_key&, const transaction_key&) = default;  // NOLINT(modernize-use-nullptr)
 };
 
-/// A run in the queue or in flight, and the host that its result goes to.
-struct submitted_run {
-    host_id origin;
-    run_request request;
-    instant arrived;
-};
-
 enum class connection_stage : std::uint8_t {
     opening,
     idle,
@@ -88,14 +81,24 @@
     friend bool operator==(const leader_lease&, const leader_lease&) = default;
 };
 
+/// What became of an endpoint's queued runs since the host started.
+struct run_queue_totals {
+    std::uint64_t refused_at_arrival = 0;  ///< Could not have been sent within their queue timeouts.
+    std::uint64_t refused_after_wait = 0;  ///< Were not sent within their queue timeouts.
+    std::uint64_t late = 0;                ///< Missed their targets while they waited.
+
+    friend bool operator==(const run_queue_totals&, const run_queue_totals&) = default;
+};
+
 /// One endpoint's queue and connections at this host.
 struct endpoint_executor {
     endpoint_entry entry;
     std::size_t connection_limit = 0;
-    std::deque<submitted_run> queue;
+    run_queue queue;
+    run_queue_totals totals;
     std::set<connection_id> connections;
     std::optional<leader_lease> lease;
-    double mean_service_ms = 15;  ///< Moving average of the time of one statement in one slot.
+    service_times service;
     instant last_answer;
     std::optional<instant> unanswered_since;  ///< Since when statements or connections have been in flight without any answer.
     std::optional<instant> last_timeout;      ///< When a connection was last given up during such a silence.
@@ -170,7 +173,11 @@
 /// Closes connections whose stage has reached its time limit, and refuses runs that have waited too long.
 void executor_tick(executor_state& state, instant now);
 
-/// Returns the estimated queue wait of a further run at the endpoint.
+/// Returns the time for which the run would wait if it were queued now.
+[[nodiscard]] millis expected_wait(const executor_state& state, const endpoint_executor& endpoint, const submitted_run& run,
+                                   instant now);
+
+/// Returns the estimated queue wait of a further run at the endpoint, behind all runs that are not late.
 [[nodiscard]] millis estimated_wait(const executor_state& state, const endpoint_executor& endpoint);
 
 /// Returns true if the endpoint refuses connections or has not answered for too long.
--- a/src/camphorstack/executors/run.hpp
+++ b/src/camphorstack/executors/run.hpp
@@ -51,11 +51,19 @@
     leader_round round = 0;    ///< The endpoint must be the leader of this round; 0 for a read at any endpoint.
     millis statement_timeout;  ///< Time limit from when the statement is sent to the endpoint.
     millis queue_timeout;      ///< The run is refused if it cannot be sent to the endpoint within this time.
+    millis start_target;       ///< The run meets its route's target if it is sent within this time; 0 means `queue_timeout`.
     int priority = 0;          ///< 0 is the highest.
 
     friend bool operator==(const run_request&, const run_request&) = default;
 };
 
+/// A run in the queue or in flight, and the host that its result goes to.
+struct submitted_run {
+    host_id origin;
+    run_request request;
+    instant arrived;
+};
+
 enum class run_outcome : std::uint8_t {
     done,
     failed,   ///< The endpoint answered with an error after the statement ran.
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -198,6 +198,7 @@
         table.add_statement_timeout_ms(body.statement_timeout.count);
         table.add_patience_ms(body.queue_timeout.count);
         table.add_priority(body.priority);
+        table.add_start_target_ms(body.start_target.count);
         return {wire::Body::RunRequest, table.Finish().Union()};
     }
 
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -184,6 +184,7 @@
     request.statement_timeout = millis{check_not_negative(table.statement_timeout_ms())};
     request.queue_timeout = millis{check_not_negative(table.patience_ms())};
     request.priority = table.priority();
+    request.start_target = millis{check_not_negative(table.start_target_ms())};
     return request;
 }
 
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -1807,7 +1807,8 @@
     VT_ROUND = 34,
     VT_STATEMENT_TIMEOUT_MS = 36,
     VT_PATIENCE_MS = 38,
-    VT_PRIORITY = 40
+    VT_PRIORITY = 40,
+    VT_START_TARGET_MS = 42
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1866,6 +1867,9 @@
   int32_t priority() const {
     return GetField<int32_t>(VT_PRIORITY, 0);
   }
+  int64_t start_target_ms() const {
+    return GetField<int64_t>(VT_START_TARGET_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1894,6 +1898,7 @@
            VerifyField<int64_t>(verifier, VT_STATEMENT_TIMEOUT_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_PATIENCE_MS, 8) &&
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<int64_t>(verifier, VT_START_TARGET_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1959,6 +1964,9 @@
   void add_priority(int32_t priority) {
     fbb_.AddElement<int32_t>(RunRequest::VT_PRIORITY, priority, 0);
   }
+  void add_start_target_ms(int64_t start_target_ms) {
+    fbb_.AddElement<int64_t>(RunRequest::VT_START_TARGET_MS, start_target_ms, 0);
+  }
   explicit RunRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1990,8 +1998,10 @@
     uint64_t round = 0,
     int64_t statement_timeout_ms = 0,
     int64_t patience_ms = 0,
-    int32_t priority = 0) {
+    int32_t priority = 0,
+    int64_t start_target_ms = 0) {
   RunRequestBuilder builder_(_fbb);
+  builder_.add_start_target_ms(start_target_ms);
   builder_.add_patience_ms(patience_ms);
   builder_.add_statement_timeout_ms(statement_timeout_ms);
   builder_.add_round(round);
@@ -2039,7 +2049,8 @@
     uint64_t round = 0,
     int64_t statement_timeout_ms = 0,
     int64_t patience_ms = 0,
-    int32_t priority = 0) {
+    int32_t priority = 0,
+    int64_t start_target_ms = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto statement_id__ = statement_id ? _fbb.CreateString(statement_id) : 0;
@@ -2066,7 +2077,8 @@
       round,
       statement_timeout_ms,
       patience_ms,
-      priority);
+      priority,
+      start_target_ms);
 }
 
 struct RunResult FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -159,6 +159,7 @@
             session.transaction->target = target;
         }
     }
+    request.start_target = start_target_of(operation.access.policy, operation.begins_transaction, now - operation.arrived);
     start_run(state, target.host, std::move(request), now);
 }
 
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -80,6 +80,21 @@
     kept_links_tick(state, now);
 }
 
+/// Writes what waits for the endpoint, and what became of earlier runs.
+void write_queue_metrics(std::ostream& out, const endpoint_executor& endpoint, instant now) {
+    const auto label = "{endpoint=\"" + metric_label(endpoint.entry.id) + "\"";
+    for (const auto rank : run_ranks) {
+        out << "camphorstack_endpoint_queue_runs" << label << ",rank=\"" << to_string(rank) << "\"} "
+            << count_runs(endpoint.queue, rank) << '\n';
+    }
+    const auto& totals = endpoint.totals;
+    out << "camphorstack_endpoint_refused_runs_total" << label << ",when=\"arrival\"} " << totals.refused_at_arrival << '\n'
+        << "camphorstack_endpoint_refused_runs_total" << label << ",when=\"after_wait\"} " << totals.refused_after_wait << '\n'
+        << "camphorstack_endpoint_late_runs_total" << label << "} " << totals.late << '\n'
+        << "camphorstack_endpoint_longest_wait_ms" << label << "} " << (now - oldest_arrival(endpoint.queue).value_or(now)).count
+        << '\n';
+}
+
 /// Logs and counts replies of endpoints that were not the awaited answers.
 void record_stray_answers(session_host_state& state) {
     for (const auto& stray : std::exchange(state.executor.stray_answers, {})) {
@@ -391,9 +406,10 @@
     out << "# TYPE camphorstack_sessions gauge\ncamphorstack_sessions " << state.sessions.size() << '\n'
         << "# TYPE camphorstack_endpoint_queue gauge\n";
     for (const auto& [id, endpoint] : state.executor.endpoints) {
-        out << "camphorstack_endpoint_queue{endpoint=\"" << metric_label(id) << "\"} " << endpoint.queue.size() << '\n'
+        out << "camphorstack_endpoint_queue{endpoint=\"" << metric_label(id) << "\"} " << count_runs(endpoint.queue) << '\n'
             << "camphorstack_endpoint_connections{endpoint=\"" << metric_label(id) << "\"} " << endpoint.connections.size()
             << '\n';
+        write_queue_metrics(out, endpoint, now);
     }
     for (const auto& watch : state.catalog.watches) {
         const auto age = evidence_age(state, watch.collection_id, now);
--- a/src/camphorstack/workspaces/fair_queue.hpp
+++ b/src/camphorstack/workspaces/fair_queue.hpp
@@ -1,14 +1,13 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
-#include <map>
 #include <optional>
-#include <string>
+#include <utility>
 #include <vector>
 
 #include "camphorstack/hosts/request.hpp"
 #include "camphorstack/support/clock.hpp"
+#include "camphorstack/workspaces/fair_lanes.hpp"
 
 namespace camphorstack {
 
@@ -25,12 +24,9 @@
     friend bool operator==(const waiting_request&, const waiting_request&) = default;
 };
 
-/// Requests queued at the owner of one database, served in deficit round-robin order over workspaces. Every request costs the
-/// same, so the quantum is one request per round.
-struct fair_queue {
+/// Requests queued at the owner of one database.
+struct fair_queue : fair_lanes<waiting_request> {
     std::size_t limit_per_workspace = 256;
-    std::map<workspace_id, std::deque<waiting_request>> waiting;
-    std::deque<workspace_id> round_robin;  ///< Workspaces with waiting requests, in the order of their turns.
 };
 
 /// Appends a request to its workspace's queue. False if that queue is full.
@@ -43,26 +39,14 @@
 /// yet do not block later requests of the same workspace.
 template <typename Predicate>
 std::optional<waiting_request> pop_request(fair_queue& queue, Predicate can_run) {
-    for (std::size_t turn = 0; turn < queue.round_robin.size(); ++turn) {
-        const workspace_id workspace = queue.round_robin.front();
-        queue.round_robin.pop_front();
-        auto& items = queue.waiting[workspace];
-        for (auto item = items.begin(); item != items.end(); ++item) {
-            if (!can_run(*item)) {
-                continue;
-            }
-            waiting_request result = std::move(*item);
-            items.erase(item);
-            if (items.empty()) {
-                queue.waiting.erase(workspace);
-            } else {
-                queue.round_robin.push_back(workspace);
-            }
-            return result;
+    std::optional<waiting_request> result;
+    take_next(queue, [&](waiting_request& item) {
+        if (can_run(std::as_const(item))) {
+            result = std::move(item);
         }
-        queue.round_robin.push_back(workspace);
-    }
-    return std::nullopt;
+        return result.has_value();
+    });
+    return result;
 }
 
 /// Removes and returns the requests whose deadline has passed.
--- a/tests/executors/executor.tests.cpp
+++ b/tests/executors/executor.tests.cpp
@@ -113,12 +113,72 @@
     fixture.now = fixture.now + millis{250};
     executor_tick(fixture.state, fixture.now);
     CHECK(fixture.result().outcome == run_outcome::not_run);
-    fixture.state.endpoints.at("i-1").mean_service_ms = 1000;
+    fixture.state.endpoints.at("i-1").service.all = 1000;
     submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
     const auto refused = fixture.result();
     CHECK((refused.outcome == run_outcome::not_run && refused.code == result_code::busy && refused.wait > millis{250}));
 }
 
+TEST_CASE("a statement of an open transaction goes before a full queue", "[executor][run-order]") {
+    executor_fixture fixture;
+    auto first = fixture.request(run_kind::read);
+    first.transaction = 7;
+    first.start = transaction_start::plain;
+    submit_run(fixture.state, "host", first, fixture.now);
+    fixture.open_connections();
+    fixture.reply(1, result_code::none, session_state::in_transaction);
+    fixture.open_connections();
+    for (int i = 0; i < 6; ++i) {
+        submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
+    }
+    fixture.open_connections();
+    fixture.reply(1, result_code::none, session_state::in_transaction);
+    fixture.open_connections();
+    auto next = fixture.request(run_kind::write);
+    next.transaction = 7;
+    submit_run(fixture.state, "host", next, fixture.now);
+    const auto sent = fixture.open_connections();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].statements.back().id == next.statement_id);
+    CHECK(count_runs(fixture.state.endpoints.at("i-1").queue) > 0);
+}
+
+TEST_CASE("queued runs that need a lease are refused as not run when it ends, others wait on", "[executor][run-order]") {
+    executor_fixture fixture;
+    fixture.grant_lease(1, millis{100});
+    for (int i = 0; i < 4; ++i) {
+        submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
+    }
+    fixture.open_connections();
+    auto write = fixture.request(run_kind::write);
+    write.round = 1;
+    submit_run(fixture.state, "host", write, fixture.now);
+    submit_run(fixture.state, "host", fixture.request(run_kind::read), fixture.now);
+    CHECK(fixture.state.results.empty());
+    fixture.now = fixture.now + millis{100};
+    executor_tick(fixture.state, fixture.now);
+    const auto refused = fixture.result();
+    CHECK((refused.id == write.id && refused.outcome == run_outcome::not_run));
+    CHECK(fixture.state.results.empty());
+    CHECK(count_runs(fixture.state.endpoints.at("i-1").queue) == 1);
+}
+
+TEST_CASE("a workspace without a connection gets one while all statements in flight are another's", "[executor][run-order]") {
+    executor_fixture fixture;
+    for (int i = 0; i < 8; ++i) {
+        submit_run(fixture.state, "host", fixture.request(run_kind::read, "busy"), fixture.now);
+    }
+    fixture.open_connections();
+    const auto waiting = fixture.request(run_kind::read, "other");
+    submit_run(fixture.state, "host", waiting, fixture.now);
+    CHECK(fixture.open_connections().empty());
+    fixture.reply(1);
+    fixture.reply(2);
+    const auto sent = fixture.open_connections();
+    REQUIRE(sent.size() == 2);
+    CHECK(sent[1].statements.back().id == waiting.statement_id);
+}
+
 TEST_CASE("the result of a run whose connection is lost says whether the run may have taken effect", "[executor]") {
     executor_fixture fixture;
     fixture.grant_lease(1, millis{2000});
