Tell refused callers times to come back that lie one token apart

Callers saw: nearly all refusals for the rate said "try again in 40 ms", also of a workspace far above its rate, so that they returned together.

Change: advise_return follows from the next token, the operations that wait, and the times told before by this host: one token apart at its share of the rate, up to 2 s. A host without a share that no holder answers says so in place of naming the rate.

Evidence: two tests in tests/contracts/remote_tokens.tests.cpp. Not built: that a refused caller goes before a new one.

--- a/src/camphorstack/contracts/rate_limit_share.hpp
+++ b/src/camphorstack/contracts/rate_limit_share.hpp
@@ -92,6 +92,7 @@
     instant last_attempt;
     instant last_shortage;     ///< When a request last found too few tokens here.
     instant last_refusal;      ///< When a request was last refused for lack of tokens.
+    instant returns_until;     ///< Latest time at which a refused caller was told to come back.
     std::int64_t waiting = 0;  ///< Requests that wait for tokens.
     std::map<host_id, lender_state> lenders;
     std::map<std::uint64_t, pending_loan_request> pending_loan_requests;  ///< By sequence number.
--- a/src/camphorstack/contracts/remote_tokens.cpp
+++ b/src/camphorstack/contracts/remote_tokens.cpp
@@ -22,6 +22,8 @@
 constexpr millis initial_backoff{10};
 constexpr millis max_backoff{320};
 constexpr int max_doublings = 5;
+/// Longest advised time to come back: a caller that waits longer for nothing would rather ask again.
+constexpr millis max_return_delay{2000};
 /// A workspace counts as over its rate for this long after a refusal for lack of tokens.
 constexpr millis refusal_window{500};
 
@@ -36,6 +38,7 @@
         if (now - asked.sent >= answer_timeout) {
             auto& backoff = tokens.backoffs[asked.holder];
             backoff.until = std::max(backoff.until, asked.sent + unresponsive_backoff);
+            backoff.unreachable = true;
         }
     }
     std::erase_if(tokens.pending, [now](const auto& item) { return now - item.second.sent >= grant_lifetime; });
@@ -137,6 +140,7 @@
     const auto asked = pending->second;
     tokens.pending.erase(pending);
     auto& backoff = tokens.backoffs[holder];
+    backoff.unreachable = false;
     backoff.empty_answers = grant.operations > 0 ? 0 : std::min(backoff.empty_answers + 1, max_doublings);
     const auto delay = std::min(initial_backoff * (std::int64_t{1} << backoff.empty_answers), max_backoff);
     backoff.until =
@@ -156,7 +160,9 @@
     }
     auto& tokens = found->second.remote;
     tokens.pending.erase(request.sequence);
-    tokens.backoffs[holder].until = now + unresponsive_backoff;
+    auto& backoff = tokens.backoffs[holder];
+    backoff.until = now + unresponsive_backoff;
+    backoff.unreachable = true;
 }
 
 void record_refusal(share_state& state, const workspace_id& id, instant now) {
@@ -166,6 +172,34 @@
     }
 }
 
+bool is_cut_off_from_holders(const share_state& state, const workspace_id& id, instant now) {
+    const auto found = state.rate_limits.find(id);
+    if (found == state.rate_limits.end() || found->second.accrual_rate > 0 || found->second.remote.holders.empty()) {
+        return false;
+    }
+    const auto& tokens = found->second.remote;
+    return std::ranges::all_of(tokens.holders, [&](const host_id& holder) {
+        const auto backoff = tokens.backoffs.find(holder);
+        return backoff != tokens.backoffs.end() && backoff->second.unreachable && now < backoff->second.until;
+    });
+}
+
+millis advise_return(share_state& state, const workspace_id& id, millis shortest, instant now) {
+    const auto found = state.rate_limits.find(id);
+    if (found == state.rate_limits.end()) {
+        return shortest;
+    }
+    auto& share = found->second;
+    // A host without a share gets about as much from the holders as one of them has.
+    const auto parts = static_cast<millitokens>(std::max<std::size_t>(1, share.holders.size()));
+    const auto rate = std::max<millitokens>({1, share.accrual_rate, share.rate_per_s / parts});
+    const millis spacing{request_cost * milliseconds_per_second / rate};
+    const auto first = std::max(next_token_at(state, id, now), now + spacing * share.waiting);
+    const auto earliest = std::max(first, now + shortest);
+    share.returns_until = std::min(std::max(earliest, share.returns_until + spacing), now + max_return_delay);
+    return share.returns_until - now;
+}
+
 bool was_refused_recently(const share_state& state, const workspace_id& id, instant now) {
     const auto found = state.rate_limits.find(id);
     return found != state.rate_limits.end() && now - found->second.last_refusal < refusal_window;
--- a/src/camphorstack/contracts/remote_tokens.hpp
+++ b/src/camphorstack/contracts/remote_tokens.hpp
@@ -20,8 +20,9 @@
 
 /// Backoff of the requesting host towards a holder that had no token or did not answer.
 struct holder_backoff {
-    instant until;          ///< No token request is sent to the holder before this.
-    int empty_answers = 0;  ///< Consecutive answers without a token.
+    instant until;             ///< No token request is sent to the holder before this.
+    int empty_answers = 0;     ///< Consecutive answers without a token.
+    bool unreachable = false;  ///< The last request was not answered.
 
     friend bool operator==(const holder_backoff&, const holder_backoff&) = default;
 };
--- a/src/camphorstack/contracts/shares.hpp
+++ b/src/camphorstack/contracts/shares.hpp
@@ -101,6 +101,14 @@
 /// True if this host refused an operation of the workspace recently, which means that the workspace is over its rate.
 [[nodiscard]] bool was_refused_recently(const share_state& state, const workspace_id& id, instant now);
 
+/// True if this host has no share of the workspace's rate and no holder of one has answered lately.
+[[nodiscard]] bool is_cut_off_from_holders(const share_state& state, const workspace_id& id, instant now);
+
+/// Returns the delay after which the caller of a refused operation is to come back, at least `shortest`. Follows from the next
+/// token and the operations that wait; callers of one workspace are told times that lie one token apart at this host, so that
+/// they do not return together.
+[[nodiscard]] millis advise_return(share_state& state, const workspace_id& id, millis shortest, instant now);
+
 /// Estimate of the earliest time at which a waiting operation of the workspace can get a token.
 [[nodiscard]] instant next_token_at(const share_state& state, const workspace_id& id, instant now);
 
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -232,10 +232,13 @@
         return false;
     }
     record_refusal(state.shares, operation.access.workspace, now);
+    const auto& workspace = operation.access.workspace;
     // Another operation may use the next token first, so the advised delay has a lower limit.
-    const auto delay = std::max(next - now, state.settings.entry.token_wait);
-    fail_operation(state, session, result_code::busy,
-                   "the workspace's rate and burst are used up; try again in " + std::to_string(delay.count) + " ms", now);
+    const auto delay = advise_return(state.shares, workspace, state.settings.entry.token_wait, now);
+    const std::string cause = is_cut_off_from_holders(state.shares, workspace, now)
+                                  ? "no host that counts the workspace's rate can be reached; try again in "
+                                  : "the workspace's rate and burst are used up; try again in ";
+    fail_operation(state, session, result_code::busy, cause + std::to_string(delay.count) + " ms", now);
     return true;
 }
 
--- a/tests/contracts/remote_tokens.tests.cpp
+++ b/tests/contracts/remote_tokens.tests.cpp
@@ -100,6 +100,38 @@
     }
 }
 
+TEST_CASE("refused callers are told times to come back that lie one token apart, up to a limit", "[tokens]") {
+    auto host = host_of_fleet(host_without_share(), 9);
+    // A holder has a third of the workspace's rate of 30 per second, a token every 100 ms.
+    const auto first = advise_return(host, "w", 40_ms, start);
+    CHECK(first >= 40_ms);
+    CHECK(advise_return(host, "w", 40_ms, start) == first + 100_ms);
+    CHECK(advise_return(host, "w", 40_ms, start + 50_ms) == first + 150_ms);
+    for (int i = 0; i < 50; ++i) {
+        CHECK(advise_return(host, "w", 40_ms, start + 50_ms) <= 2000_ms);
+    }
+    CHECK(advise_return(host, "w", 40_ms, start + 10_s) <= first);
+    CHECK(advise_return(host, "unknown", 40_ms, start) == 40_ms);
+}
+
+TEST_CASE("a host without a share knows that no holder answers it", "[tokens]") {
+    auto host = host_of_fleet(host_without_share(), 9);
+    CHECK_FALSE(is_cut_off_from_holders(host, "w", start));
+    CHECK_FALSE(try_spend(host, "w", start));
+    set_waiting_requests(host, "w", 2);
+    std::optional<addressed_token_request> last;
+    auto now = start;
+    for (; !is_cut_off_from_holders(host, "w", now) && now < start + 1_s; now = now + 10_ms) {
+        for (const auto& request : due_token_requests(host, now)) {
+            last = request;
+        }
+    }
+    CHECK(now < start + 500_ms);
+    CHECK(next_token_at(host, "w", now) > now);
+    receive_token_grant(host, last->holder, {last->request.sequence, "w", 1, 0_ms}, now);
+    CHECK_FALSE(is_cut_off_from_holders(host, "w", now));
+}
+
 TEST_CASE("a holder spends its tokens for other hosts and reports when its next token is due", "[tokens]") {
     auto holder = host_of_fleet(host_name(0), 9);
     holder = host_of_fleet(holder.rate_limits.at("w").holders.front(), 9);
