--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -199,6 +199,7 @@
         table.add_patience_ms(body.queue_timeout.count);
         table.add_priority(body.priority);
         table.add_accepts_known_position(body.accepts_known_position);
+        table.add_start_target_ms(body.start_target.count);
         return {wire::Body::RunRequest, table.Finish().Union()};
     }
 
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -1834,7 +1834,8 @@
     VT_STATEMENT_TIMEOUT_MS = 36,
     VT_PATIENCE_MS = 38,
     VT_PRIORITY = 40,
-    VT_ACCEPTS_KNOWN_POSITION = 42
+    VT_ACCEPTS_KNOWN_POSITION = 42,
+    VT_START_TARGET_MS = 44
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1896,6 +1897,9 @@
   bool accepts_known_position() const {
     return GetField<uint8_t>(VT_ACCEPTS_KNOWN_POSITION, 0) != 0;
   }
+  int64_t start_target_ms() const {
+    return GetField<int64_t>(VT_START_TARGET_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1925,6 +1929,7 @@
            VerifyField<int64_t>(verifier, VT_PATIENCE_MS, 8) &&
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTS_KNOWN_POSITION, 1) &&
+           VerifyField<int64_t>(verifier, VT_START_TARGET_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1993,6 +1998,9 @@
   void add_accepts_known_position(bool accepts_known_position) {
     fbb_.AddElement<uint8_t>(RunRequest::VT_ACCEPTS_KNOWN_POSITION, static_cast<uint8_t>(accepts_known_position), 0);
   }
+  void add_start_target_ms(int64_t start_target_ms) {
+    fbb_.AddElement<int64_t>(RunRequest::VT_START_TARGET_MS, start_target_ms, 0);
+  }
   explicit RunRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2025,8 +2033,10 @@
     int64_t statement_timeout_ms = 0,
     int64_t patience_ms = 0,
     int32_t priority = 0,
-    bool accepts_known_position = false) {
+    bool accepts_known_position = false,
+    int64_t start_target_ms = 0) {
   RunRequestBuilder builder_(_fbb);
+  builder_.add_start_target_ms(start_target_ms);
   builder_.add_patience_ms(patience_ms);
   builder_.add_statement_timeout_ms(statement_timeout_ms);
   builder_.add_round(round);
@@ -2076,7 +2086,8 @@
     int64_t statement_timeout_ms = 0,
     int64_t patience_ms = 0,
     int32_t priority = 0,
-    bool accepts_known_position = false) {
+    bool accepts_known_position = false,
+    int64_t start_target_ms = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto statement_id__ = statement_id ? _fbb.CreateString(statement_id) : 0;
@@ -2104,7 +2115,8 @@
       statement_timeout_ms,
       patience_ms,
       priority,
-      accepts_known_position);
+      accepts_known_position,
+      start_target_ms);
 }
 
 struct RunResult FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -45,6 +45,7 @@
                     4,
                     millis{800},
                     millis{250},
+                    millis{120},
                     1,
                     true},
         run_result{7,
