Refuse statements that were sent ahead in a session that the host closes

Callers would have seen: with messages handed on one by one, a host that shuts down closes a session with the answer that leaves it idle, and what the caller had sent ahead ended without an answer although the process had read it.

Cause: the callers' link holds such messages since it bounds what callers send ahead, so the host takes the session for idle.

Change: before the link closes a session it answers held statements with BUSY; none of them has run.

Evidence: test [stop][path]: COMMIT and two reads in one piece after the time at which idle sessions are closed; without the refusal the reads get no answer, with it each is refused.

--- a/src/camphorstack/links/line_socket.cpp
+++ b/src/camphorstack/links/line_socket.cpp
@@ -92,6 +92,21 @@
     this->retry_reading();
 }
 
+std::vector<std::string> line_socket::take_held_lines() {
+    std::vector<std::string> lines;
+    if (this->is_delivering || !this->holds_lines) {
+        return lines;
+    }
+    std::size_t consumed = 0;
+    for (auto end = this->input.find(line_end); end != std::string::npos; end = this->input.find(line_end, consumed)) {
+        lines.push_back(this->input.substr(consumed, end - consumed));
+        consumed = end + line_end.size();
+    }
+    this->input.erase(0, consumed);
+    this->update_charges();
+    return lines;
+}
+
 void line_socket::retry_reading() {
     if (this->current == phase::open && this->is_reading_stopped && this->may_read()) {
         this->is_reading_stopped = false;
--- a/src/camphorstack/links/line_socket.hpp
+++ b/src/camphorstack/links/line_socket.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "camphorstack/links/memory_account.hpp"
 #include "camphorstack/support/clock.hpp"
@@ -60,6 +61,8 @@
     void hold_lines() { this->holds_lines = true; }
     /// Passes on the lines that were held and reads on. Must not be called inside a callback.
     void release_lines();
+    /// Removes the complete lines that are held and returns them, for a connection that is to be finished.
+    [[nodiscard]] std::vector<std::string> take_held_lines();
     /// Reads on if the socket waits for room. Must not be called inside a callback.
     void retry_reading();
 
--- a/tests/platform/path.tests.cpp
+++ b/tests/platform/path.tests.cpp
@@ -102,6 +102,20 @@
     CHECK(caller.wait_closed());
 }
 
+TEST_CASE("a stopping host refuses statements that were sent ahead in a session that it closes", "[platform][path][stop]") {
+    platform_fixture system;
+    raw_client caller(system.callers);
+    caller.send("START books first-key\r\n");
+    REQUIRE(caller.wait_for("READY I -\r\n"));
+    caller.send("QUERY q1 BEGIN\r\n");
+    REQUIRE(caller.wait_for("READY T -\r\n"));
+    system.task->request_stop();
+    run_for(millis{1700});
+    caller.send("QUERY q2 COMMIT\r\nQUERY q3 READ item\r\nQUERY q4 READ item\r\n");
+    CHECK(caller.wait_for("ERROR BUSY the session was closed before the statement ran\r\nREADY I -\r\nERROR BUSY"));
+    CHECK(caller.wait_closed());
+}
+
 TEST_CASE("the store link distinguishes unanswered calls from refused calls", "[platform][store-link]") {
     object_store store;
     std::vector<catalog_answer> answers;
