--- a/tests/session_fleet/session_fleet.hpp
+++ b/tests/session_fleet/session_fleet.hpp
@@ -124,7 +124,7 @@
     /// Instances send this share of their answers once more, up to `longest_repetition` later.
     int repeated_answers_percent = 0;
     millis longest_repetition{300};
-    millis dark_connection_time{3000};  ///< For how long instances hold connections of hosts that have lost power.
+    millis dark_connection_time{3000};   ///< For how long instances hold connections of hosts that have lost power.
     int refused_statements_percent = 0;  ///< Share of statements outside of transactions that instances refuse as busy.
     bool repeats_answers = false;        ///< Answers between hosts arrive again later.
     bool cuts_reset = false;  ///< Endpoints behind a cut reset and refuse connections at once, instead of not answering.
