Choose endpoints of reads by old waits, own unanswered runs and silence

Callers of a region with more load than its endpoint serves saw queues build up and move in turns: a reported wait counted in full for 500 ms and then not at all, and a host did not count what it had sent since. A run that failed without an answer counted as a report of no wait, which drew reads to the endpoint that was lost.

balancing/endpoint_choice gives the cost of a candidate and the choice; choose_read uses it. Evidence is kept for endpoints of the catalog only. New metric camphorstack_reads_sent_total.

--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -166,6 +166,8 @@
         }
     }
     known = std::move(next);
+    std::erase_if(state.load_evidence_by_endpoint, [&](const auto& item) { return !known.contains(item.first); });
+    std::erase_if(state.reads_sent, [&](const auto& item) { return !known.contains(item.first.first); });
     update_endpoint_shares(state, now);
 }
 
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -124,6 +124,18 @@
     state.waiting_sessions.insert(session.id);
 }
 
+/// Notes a run that is sent to an endpoint, for later choices and the metrics.
+void note_sent(session_host_state& state, const run_target& target, run_kind kind, instant now) {
+    const auto found = state.catalog.endpoints.find(target.endpoint);
+    if (found == state.catalog.endpoints.end()) {
+        return;
+    }
+    record_sent(state.load_evidence_by_endpoint[target.endpoint], now);
+    if (kind == run_kind::read) {
+        ++state.reads_sent[{target.endpoint, distance_to(state, found->second.location)}];
+    }
+}
+
 void send_run(session_host_state& state, caller_session& session, const run_target& target,
               const std::optional<log_position>& after, instant now) {
     auto& operation = *session.operation;
@@ -134,6 +146,7 @@
     operation.run = state.next_call++;
     state.waiting_sessions.erase(session.id);
     state.runs[operation.run] = session.id;
+    note_sent(state, target, operation.kind, now);
     run_request request;
     request.id = operation.run;
     request.endpoint = target.endpoint;
@@ -395,6 +408,36 @@
     return waits ? &session->second : nullptr;
 }
 
+/// Drops what is known of the queue at the endpoint of a run that did not reach it. Its next owner may be free.
+void forget_load(session_host_state& state, run_id run) {
+    if (const auto* session = session_of_run(state, run); session != nullptr) {
+        state.load_evidence_by_endpoint.erase(session->operation->target.endpoint);
+    }
+}
+
+/// Goes on with the operation whose run has ended.
+void settle_run(session_host_state& state, const run_result& result, instant now) {
+    if (receive_position(state, result)) {
+        return;
+    }
+    auto* session = session_of_run(state, result.id);
+    if (session == nullptr) {
+        state.runs.erase(result.id);
+        return;
+    }
+    auto& operation = *session->operation;
+    record_position(state, operation.access.database, result, operation.sent);
+    if (result.outcome == run_outcome::done || result.outcome == run_outcome::failed) {
+        finish_operation(state, *session, result, now);
+    } else if (may_retry(state, *session, operation, result, now)) {
+        retry_at_other_endpoint(state, *session, result, now);
+    } else if (session->transaction) {
+        fail_in_transaction(state, *session, result, now);
+    } else {
+        fail_operation(state, *session, result.code, result.text, now);
+    }
+}
+
 void fail_run(session_host_state& state, run_id run, run_outcome outcome, const char* reason, instant now) {
     run_result result;
     result.id = run;
@@ -406,7 +449,7 @@
             result.code = session->operation->kind == run_kind::read ? result_code::timeout : result_code::in_doubt;
         }
     }
-    receive_run_result(state, result, now);
+    settle_run(state, result, now);
 }
 
 void end_idle_transactions(session_host_state& state, instant now) {
@@ -477,26 +520,11 @@
 }
 
 void receive_run_result(session_host_state& state, const run_result& result, instant now) {
-    if (receive_position(state, result)) {
-        return;
-    }
-    auto* session = session_of_run(state, result.id);
-    if (session == nullptr) {
-        state.runs.erase(result.id);
-        return;
-    }
-    auto& operation = *session->operation;
-    record_position(state, operation.access.database, result, operation.sent);
-    state.reported_waits[operation.target.endpoint] = {result.wait, now};
-    if (result.outcome == run_outcome::done || result.outcome == run_outcome::failed) {
-        finish_operation(state, *session, result, now);
-    } else if (may_retry(state, *session, operation, result, now)) {
-        retry_at_other_endpoint(state, *session, result, now);
-    } else if (session->transaction) {
-        fail_in_transaction(state, *session, result, now);
-    } else {
-        fail_operation(state, *session, result.code, result.text, now);
+    const auto* session = session_of_run(state, result.id);
+    if (session != nullptr && state.catalog.endpoints.contains(session->operation->target.endpoint)) {
+        record_report(state.load_evidence_by_endpoint[session->operation->target.endpoint], result.wait, now);
     }
+    settle_run(state, result, now);
 }
 
 void fail_runs_at(session_host_state& state, const host_id& host, instant now) {
@@ -509,6 +537,7 @@
         }
     }
     for (const auto run : lost) {
+        forget_load(state, run);
         fail_run(state, run, run_outcome::lost, "the link to the endpoint's owner broke", now);
     }
 }
@@ -517,6 +546,7 @@
     const char* reason = cause == not_sent_cause::too_large
                              ? "the statement and its session's values are too large to be passed on"
                              : "the endpoint's owner cannot be reached";
+    forget_load(state, run);
     fail_run(state, run, run_outcome::not_run, reason, now);
 }
 
--- a/src/camphorstack/session_host/routing.cpp
+++ b/src/camphorstack/session_host/routing.cpp
@@ -1,6 +1,7 @@
 #include "camphorstack/session_host/routing.hpp"
 
 #include <algorithm>
+#include <vector>
 
 namespace camphorstack {
 
@@ -8,29 +9,36 @@
 
 /// Added to the leader's cost for reads, to keep the leader free for writes, which only it can run.
 constexpr millis leader_cost{8};
-/// Upper limit of the random cost added to each endpoint, so that hosts do not all choose the same one of several similar
-/// endpoints.
-constexpr std::int64_t jitter_ms = 3;
-
-/// Returns the network cost between two data centres.
-millis path_cost(const session_host_state& state, const data_centre_id& from, const data_centre_id& to) {
-    if (from == to) {
-        return millis{0};
+
+/// Returns the network cost between this host and a data centre.
+millis path_cost(const session_host_state& state, const data_centre_id& location) {
+    switch (distance_to(state, location)) {
+        case endpoint_distance::same_data_centre:
+            return millis{0};
+        case endpoint_distance::other_data_centre:
+            return state.settings.entry.cross_data_centre_cost;
+        case endpoint_distance::other_region:
+            return state.settings.entry.cross_region_cost;
     }
-    return region_of(state, from) == region_of(state, to) ? state.settings.entry.cross_data_centre_cost
-                                                          : state.settings.entry.cross_region_cost;
+    return state.settings.entry.cross_region_cost;
 }
 
-/// Returns the queue time to expect at an endpoint; 0 if none was reported recently.
-millis expected_wait(const session_host_state& state, const endpoint_id& endpoint, const host_id& host, instant now) {
-    if (host == state.settings.self.id) {
-        const auto found = state.executor.endpoints.find(endpoint);
-        return found == state.executor.endpoints.end() ? millis{0} : estimated_wait(state.executor, found->second);
+/// Returns what is known of an endpoint that could run a read.
+endpoint_candidate candidate_for(const session_host_state& state, const run_target& target, millis penalty, instant now) {
+    const auto& entry = state.catalog.endpoints.at(target.endpoint);
+    endpoint_candidate candidate;
+    candidate.path = path_cost(state, entry.location);
+    candidate.penalty = penalty;
+    candidate.slots = entry.slots;
+    if (target.host == state.settings.self.id) {
+        if (const auto own = state.executor.endpoints.find(target.endpoint); own != state.executor.endpoints.end()) {
+            candidate.wait = estimated_wait(state.executor, own->second);
+        }
+    } else if (const auto known = state.load_evidence_by_endpoint.find(target.endpoint);
+               known != state.load_evidence_by_endpoint.end()) {
+        apply_evidence(candidate, known->second, state.settings.entry.choice, now);
     }
-    const auto reported = state.reported_waits.find(endpoint);
-    const bool recent = reported != state.reported_waits.end() &&
-                        now - reported->second.received_at < state.settings.entry.reported_wait_lifetime;
-    return recent ? reported->second.wait : millis{0};
+    return candidate;
 }
 
 const leader_record* serving_leader(const session_host_state& state, const database_id& database) {
@@ -97,28 +105,26 @@
     const auto& access = operation.access;
     const bool leader_only = access.policy.reads == consistency::primary || operation.at_leader;
     const auto leader = leader_target(state, access);
-    std::optional<read_plan> best;
-    auto best_cost = millis{0};
+    std::vector<read_plan> plans;
+    std::vector<endpoint_candidate> candidates;
     const auto consider = [&](read_plan plan, millis penalty) {
-        const auto& location = state.catalog.endpoints.at(plan.target.endpoint).location;
-        const auto jitter = millis{static_cast<std::int64_t>(state.random() % static_cast<std::uint64_t>(jitter_ms))};
-        const auto cost = path_cost(state, state.settings.self.location, location) +
-                          expected_wait(state, plan.target.endpoint, plan.target.host, now) + penalty + jitter;
-        if (!best || cost < best_cost) {
-            best = std::move(plan);
-            best_cost = cost;
-        }
+        candidates.push_back(candidate_for(state, plan.target, penalty, now));
+        plans.push_back(std::move(plan));
+    };
+    const auto best = [&]() -> std::optional<read_plan> {
+        const auto chosen = choose_candidate(candidates, state.settings.entry.choice, state.random);
+        return chosen ? std::optional{plans[*chosen]} : std::nullopt;
     };
     if (leader && !operation.tried.contains(leader->endpoint)) {
         consider({*leader, std::nullopt}, leader_cost);
     }
     if (leader_only) {
-        return best;
+        return best();
     }
     const bool fresh_write = session.written && now - session.written_at < state.settings.entry.fresh_write_time;
     const auto position = required_position(state, session, operation, now);
-    if (!position || (fresh_write && best)) {
-        return best;
+    if (!position || (fresh_write && !plans.empty())) {
+        return best();
     }
     for (const auto& [id, entry] : state.catalog.endpoints) {
         const bool is_leader = leader && leader->endpoint == id;
@@ -128,7 +134,7 @@
         }
         consider({run_target{id, allowed_executor(state, access, id), 0}, position}, millis{0});
     }
-    return best;
+    return best();
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -392,6 +392,12 @@
     for (const auto& [code, count] : state.refused_messages) {
         out << "camphorstack_refused_messages_total{code=\"" << to_string(code) << "\"} " << count << '\n';
     }
+    out << "# HELP camphorstack_reads_sent_total Reads sent, by endpoint and its distance from this host.\n"
+        << "# TYPE camphorstack_reads_sent_total counter\n";
+    for (const auto& [key, count] : state.reads_sent) {
+        out << "camphorstack_reads_sent_total{endpoint=\"" << metric_label(key.first) << "\",distance=\"" << to_string(key.second)
+            << "\"} " << count << '\n';
+    }
     const auto& positions = state.position_counts;
     out << "# HELP camphorstack_position_requests_total Requests for primaries' positions, by what became of them.\n"
         << "# TYPE camphorstack_position_requests_total counter\n"
--- a/src/camphorstack/session_host/session_host_settings.hpp
+++ b/src/camphorstack/session_host/session_host_settings.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "camphorstack/balancing/endpoint_choice.hpp"
 #include "camphorstack/catalog/collection_watch.hpp"
 #include "camphorstack/contracts/shares.hpp"
 #include "camphorstack/coordination/coordination.hpp"
@@ -37,8 +38,7 @@
     millis cross_region_cost{18};
     /// Round trip between data centres of one region, for the choice of an endpoint.
     millis cross_data_centre_cost{2};
-    /// Validity of the queue time that an executor reported.
-    millis reported_wait_lifetime{500};
+    choice_settings choice;  ///< Weights of the evidence for the choice of an endpoint.
     /// A host that shuts down closes its idle sessions after this time; the load balancer no longer sends callers by then.
     millis idle_session_grace{1500};
     /// Limit on the statements that one caller may pipeline.
--- a/src/camphorstack/session_host/session_host_state.cpp
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -56,6 +56,27 @@
     return found == state.settings.regions.end() ? std::string() : found->second;
 }
 
+const char* to_string(endpoint_distance distance) {
+    switch (distance) {
+        case endpoint_distance::same_data_centre:
+            return "near";
+        case endpoint_distance::other_data_centre:
+            return "other_data_centre";
+        case endpoint_distance::other_region:
+            return "other_region";
+    }
+    return "unknown";
+}
+
+endpoint_distance distance_to(const session_host_state& state, const data_centre_id& location) {
+    const auto& own = state.settings.self.location;
+    if (own == location) {
+        return endpoint_distance::same_data_centre;
+    }
+    return region_of(state, own) == region_of(state, location) ? endpoint_distance::other_data_centre
+                                                               : endpoint_distance::other_region;
+}
+
 bool takes_new_work(const session_host_state& state, const endpoint_entry& endpoint) {
     return !endpoint.draining && !state.catalog.evacuated.contains(endpoint.location);
 }
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "camphorstack/balancing/endpoint_choice.hpp"
 #include "camphorstack/catalog/collection_watch.hpp"
 #include "camphorstack/catalog/fleet_record.hpp"
 #include "camphorstack/catalog/relayed_collection.hpp"
@@ -44,11 +45,9 @@
     std::map<host_id, stored_record<unreachable_claim>> claims;
 };
 
-/// Queue time at an endpoint, as its executor last reported it.
-struct reported_wait {
-    millis wait;
-    instant received_at;
-};
+/// How far an endpoint is from this host.
+enum class endpoint_distance : std::uint8_t { same_data_centre, other_data_centre, other_region };
+[[nodiscard]] const char* to_string(endpoint_distance distance);
 
 /// Number of a workspace's operations since the host started, by result.
 struct operation_counts {
@@ -90,7 +89,8 @@
     position_request_counts position_counts;
     std::map<database_id, position_samples> samples;  ///< Log positions of each database's primary.
     std::map<database_id, instant> sample_needed_at;  ///< When a read last needed a position sample of the database.
-    std::map<endpoint_id, reported_wait> reported_waits;
+    std::map<endpoint_id, load_evidence> load_evidence_by_endpoint;                 ///< Only endpoints of the catalog.
+    std::map<std::pair<endpoint_id, endpoint_distance>, std::uint64_t> reads_sent;  ///< For the metrics.
     std::map<host_id, instant> broken_links;  ///< Peers that cannot be reached, with the time of the last attempt.
     std::map<host_id, instant> kept_links;    ///< When a message was last sent to keep the link to a peer open.
     instant next_link_check;                  ///< The kept links are not checked earlier.
@@ -137,6 +137,9 @@
 /// Returns the region of a data centre; empty if the settings do not name it.
 [[nodiscard]] std::string region_of(const session_host_state& state, const data_centre_id& location);
 
+/// Returns how far a data centre is from this host's.
+[[nodiscard]] endpoint_distance distance_to(const session_host_state& state, const data_centre_id& location);
+
 /// Returns true if the endpoint may receive new reads: it is not draining and its data centre is not evacuated.
 [[nodiscard]] bool takes_new_work(const session_host_state& state, const endpoint_entry& endpoint);
 
--- a/tests/session_host/metrics.tests.cpp
+++ b/tests/session_host/metrics.tests.cpp
@@ -39,10 +39,11 @@
         state.counts[name].done = 1;
         state.counts[name].failed[result_code::busy] = 2;
         state.executor.endpoints[name];
+        state.reads_sent[{name, endpoint_distance::other_region}] = 1;
         latencies.record({name, request_kind::read, request_outcome::done, refusal::none, 100});
     }
     const auto page = render_metrics(state, instant{0});
     CHECK(page.find("\ncamphorstack_sessions 99") == std::string::npos);
-    CHECK(check_page(page) > names.size() * 4);
+    CHECK(check_page(page) > names.size() * 5);
     CHECK(check_page(latencies.render()) > names.size());
 }
