--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -425,6 +425,12 @@
     }
     out << "# HELP camphorstack_session_bytes Session values and prepared shapes of all sessions.\n"
         << "# TYPE camphorstack_session_bytes gauge\ncamphorstack_session_bytes " << state.session_bytes << '\n';
+    out << "# HELP camphorstack_reads_sent_total Reads sent, by endpoint and its distance from this host.\n"
+        << "# TYPE camphorstack_reads_sent_total counter\n";
+    for (const auto& [key, count] : state.reads_sent) {
+        out << "camphorstack_reads_sent_total{endpoint=\"" << metric_label(key.first) << "\",distance=\"" << to_string(key.second)
+            << "\"} " << count << '\n';
+    }
     const auto& positions = state.position_counts;
     out << "# HELP camphorstack_position_requests_total Requests for primaries' positions, by what became of them.\n"
         << "# TYPE camphorstack_position_requests_total counter\n"
