--- a/src/camphorstack/session_host/usage_duty.cpp
+++ b/src/camphorstack/session_host/usage_duty.cpp
@@ -268,10 +268,10 @@
     }
     const auto& counter = state.usage.counter;
     const auto& holder = state.usage.holder;
-    out << "# HELP camphorstack_usage_statements_total Statements counted for the usage reports; uncounted ones came too late.\n"
-        << "# TYPE camphorstack_usage_statements_total counter\n"
-        << "camphorstack_usage_statements_total{outcome=\"counted\"} " << counter.all_counted << '\n'
-        << "camphorstack_usage_statements_total{outcome=\"uncounted\"} " << counter.uncounted << '\n'
+    out << "# HELP camphorstack_usage_operations_total Operations counted for the usage reports; uncounted ones came too late.\n"
+        << "# TYPE camphorstack_usage_operations_total counter\n"
+        << "camphorstack_usage_operations_total{outcome=\"counted\"} " << counter.all_counted << '\n'
+        << "camphorstack_usage_operations_total{outcome=\"uncounted\"} " << counter.uncounted << '\n'
         << "# HELP camphorstack_usage_windows_total Usage windows that this host reported, by outcome; late ones are also sent.\n"
         << "# TYPE camphorstack_usage_windows_total counter\n"
         << "camphorstack_usage_windows_total{outcome=\"sent\"} " << holder.sent << '\n'
--- a/tests/usage/usage_reports.tests.cpp
+++ b/tests/usage/usage_reports.tests.cpp
@@ -246,3 +246,29 @@
     usage.run_load(millis{20000});
     usage.check_reports(usage.current() - 2);
 }
+
+TEST_CASE("a transaction counts once in the usage of its window", "[usage]") {
+    fleet_options options;
+    options.usage.window = window_length;
+    options.usage.due = due;
+    session_fleet fleet(options);
+    fleet.run_for(millis{8000});
+    const auto session = fleet.open_session("host-0", consistency::primary);
+    REQUIRE(fleet.run_until([&] { return fleet.unix_ms() % window_length.count == 500; }, window_length * 2));
+    const auto window = fleet.unix_ms() / window_length.count;
+
+    fleet.ask(session, plain_statement("b-1", statement_kind::begin, "BEGIN"));
+    fleet.ask(session, write_statement("w-1", "item", "data"));
+    fleet.ask(session, read_statement("r-1", "item"));
+    fleet.ask(session, plain_statement("c-1", statement_kind::commit, "COMMIT"));
+    fleet.ask(session, plain_statement("b-2", statement_kind::begin, "BEGIN"));
+    fleet.ask(session, write_statement("w-2", "item", "other"));
+    fleet.ask(session, plain_statement("e-2", statement_kind::rollback, "ROLLBACK"));
+    fleet.ask(session, read_statement("r-3", "item"));
+    REQUIRE(fleet.unix_ms() / window_length.count == window);
+    fleet.run_for(window_length + due);
+
+    const auto sent = std::ranges::find(fleet.usages, window, [](const auto& received) { return received.call.usage.window; });
+    REQUIRE(sent != fleet.usages.end());
+    CHECK(sent->call.usage.counts == usage_counts{{"workspace-0", 3}});
+}
