Give the memory of drained line buffers back

Callers that never read, or read slowly, kept 96 MB of a host that may use 64 (two tests listed as known red, cause not found).

Cause: a drained output buffer was assigned an empty string, which keeps the old buffer's memory. In the process at its peak, 58 of the blocks of 980 KB were such buffers (first byte cleared, the rest an old answer), one for nearly each caller.

Change: buffers are swapped with a copy of their size.

--- a/src/camphorstack/links/line_socket.cpp
+++ b/src/camphorstack/links/line_socket.cpp
@@ -25,6 +25,11 @@
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 3;
 
+/// Gives back the memory that a buffer does not need for its content. Assigning a short string would keep the memory.
+void shrink(std::string& buffer) {
+    std::string(buffer).swap(buffer);
+}
+
 }  // namespace
 
 line_socket::line_socket(fd_watcher& sockets, g_pointer<GSocket> opened, limits wanted, callbacks target)
@@ -145,11 +150,13 @@
 /// Gives the memory of the buffers back, which are not used any more.
 void line_socket::release_buffers() {
     if (!this->is_delivering) {
-        this->input = std::string();
+        this->input.clear();
+        shrink(this->input);
         this->scanned = 0;
     }
     if (this->current == phase::closed) {
-        this->output = std::string();
+        this->output.clear();
+        shrink(this->output);
         this->written = 0;
     }
     this->update_charges();
@@ -184,7 +191,7 @@
     }
     this->output.clear();
     if (this->output.capacity() > small_input_bytes) {
-        this->output = std::string();
+        shrink(this->output);
     }
     this->written = 0;
     this->update_charges();
@@ -332,7 +339,7 @@
     }
     this->input.erase(0, consumed);
     if (this->input.capacity() > small_input_bytes * 2 && this->input.size() <= small_input_bytes) {
-        this->input = std::string(this->input.data(), this->input.size());
+        shrink(this->input);
     }
     this->update_charges();
     if (this->holds_lines) {
