--- a/tests/hostile_callers/hostile_callers.tests.cpp
+++ b/tests/hostile_callers/hostile_callers.tests.cpp
@@ -10,6 +10,7 @@
 #include "platform/object_store.hpp"
 #include "platform/wire_instance.hpp"
 #include "soak/soak_host.hpp"
+#include "support/temporary_folder.hpp"
 
 using namespace camphorstack;
 using namespace camphorstack::hostile;
@@ -39,23 +40,6 @@
     return value == nullptr ? fallback : value;
 }
 
-/// A folder for one host's settings and log, removed at the end.
-class host_folder {
-public:
-    host_folder() {
-        std::string name = std::filesystem::temp_directory_path() / "hostile-callers-XXXXXX";
-        REQUIRE(mkdtemp(name.data()) != nullptr);
-        this->path = name;
-    }
-    host_folder(const host_folder&) = delete;
-    host_folder& operator=(const host_folder&) = delete;
-    host_folder(host_folder&&) = delete;
-    host_folder& operator=(host_folder&&) = delete;
-    ~host_folder() { std::filesystem::remove_all(this->path); }
-
-    std::string path;
-};
-
 /// One host as a process of its own, and stand-ins for the store and for a database of one instance.
 class host_under_load {
 public:
@@ -162,7 +146,7 @@
         return SIZE_MAX;
     }
 
-    host_folder folder;
+    tests::temporary_folder folder{"hostile-callers"};
     fd_watcher sockets;
     platform_tests::object_store store;
     session_tests::database_model model{"db", {"amman-a"}};
