--- a/src/camphorstack/executors/dispatch_runs.cpp
+++ b/src/camphorstack/executors/dispatch_runs.cpp
@@ -53,7 +53,7 @@
     int best_score = -1;
     for (const auto id : endpoint.connections) {
         auto& connection = state.connections.at(id);
-        if (connection.stage != connection_stage::idle || connection.transaction) {
+        if (!is_free(connection)) {
             continue;
         }
         if (const auto score = suitability(endpoint, connection, request); score && *score > best_score) {
@@ -70,8 +70,7 @@
     std::optional<connection_id> found;
     for (const auto id : endpoint.connections) {
         const auto& connection = state.connections.at(id);
-        const bool idle = connection.stage == connection_stage::idle && !connection.transaction;
-        if (idle && !suitability(endpoint, connection, waiting) &&
+        if (is_free(connection) && !suitability(endpoint, connection, waiting) &&
             (!found || connection.since < state.connections.at(*found).since)) {
             found = id;
         }
@@ -160,12 +159,16 @@
     return false;
 }
 
-std::set<workspace_id> connected_workspaces(const executor_state& state, const endpoint_executor& endpoint) {
-    std::set<workspace_id> connected;
+/// Returns the workspaces of the endpoint's connections that match.
+template <typename Matches>
+std::set<workspace_id> workspaces_of(const executor_state& state, const endpoint_executor& endpoint, Matches matches) {
+    std::set<workspace_id> workspaces;
     for (const auto id : endpoint.connections) {
-        connected.insert(state.connections.at(id).workspace);
+        if (const auto& connection = state.connections.at(id); matches(connection)) {
+            workspaces.insert(connection.workspace);
+        }
     }
-    return connected;
+    return workspaces;
 }
 
 /// Opens connections for workspaces whose queued runs have none, in the order of turns and up to the limit of statements in
@@ -174,7 +177,7 @@
 void open_missing_connections(executor_state& state, endpoint_executor& endpoint, instant now) {
     const auto limit = in_flight_limit(state, endpoint);
     const auto opening = count_opening(state, endpoint);
-    const auto connected = connected_workspaces(state, endpoint);
+    const auto connected = workspaces_of(state, endpoint, [](const executor_connection&) { return true; });
     std::size_t opened = 0;
     for (const auto& [workspace, count] : opening) {
         opened += count;
@@ -204,22 +207,10 @@
     }
 }
 
-/// Returns the workspaces of the connections that a run outside of an open transaction may use.
-std::set<workspace_id> idle_workspaces(const executor_state& state, const endpoint_executor& endpoint) {
-    std::set<workspace_id> idle;
-    for (const auto id : endpoint.connections) {
-        const auto& connection = state.connections.at(id);
-        if (connection.stage == connection_stage::idle && !connection.transaction) {
-            idle.insert(connection.workspace);
-        }
-    }
-    return idle;
-}
-
 /// Sends runs that need a free connection, while statements in flight are below their limit.
 void start_waiting(executor_state& state, endpoint_executor& endpoint, instant now) {
     while (!endpoint.queue.turns.empty() && runs_in_flight(state, endpoint) < in_flight_limit(state, endpoint)) {
-        const auto idle = idle_workspaces(state, endpoint);
+        const auto idle = workspaces_of(state, endpoint, is_free);
         const auto accept = [&](submitted_run& run) {
             return idle.contains(run.request.workspace) && try_start(state, endpoint, run, now);
         };
@@ -231,6 +222,10 @@
 
 }  // namespace
 
+bool is_free(const executor_connection& connection) {
+    return connection.stage == connection_stage::idle && !connection.transaction;
+}
+
 std::size_t runs_in_flight(const executor_state& state, const endpoint_executor& endpoint) {
     return static_cast<std::size_t>(
         std::ranges::count_if(endpoint.connections, [&](connection_id id) { return state.connections.at(id).run.has_value(); }));
--- a/src/camphorstack/executors/dispatch_runs.hpp
+++ b/src/camphorstack/executors/dispatch_runs.hpp
@@ -11,6 +11,9 @@
 /// for runs that have none.
 void dispatch_runs(executor_state& state, endpoint_executor& endpoint, instant now);
 
+/// Returns true if a run outside of the open transactions may use the connection.
+[[nodiscard]] bool is_free(const executor_connection& connection);
+
 /// Returns the number of runs in flight at the endpoint.
 [[nodiscard]] std::size_t runs_in_flight(const executor_state& state, const endpoint_executor& endpoint);
 
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -443,8 +443,7 @@
         const auto ids = endpoint.connections;
         for (const auto id : ids) {
             const auto& connection = state.connections.at(id);
-            const bool idle = connection.stage == connection_stage::idle && !connection.transaction;
-            if (idle && endpoint.connections.size() > endpoint.connection_limit) {
+            if (is_free(connection) && endpoint.connections.size() > endpoint.connection_limit) {
                 drop_connection(state, id);
             }
         }
--- a/src/camphorstack/executors/executor.hpp
+++ b/src/camphorstack/executors/executor.hpp
@@ -141,7 +141,7 @@
     std::vector<executor_action> actions;     ///< To be carried out; taken by the caller.
     std::vector<addressed_result> results;    ///< To be delivered; taken by the caller.
     std::vector<stray_answer> stray_answers;  ///< To be logged; taken by the caller.
-    std::vector<started_statement> started;   ///< Callers' statements that ran or may have run; taken by the caller.
+    std::vector<started_operation> started;   ///< Callers' operations that ran or may have run; taken by the caller.
 };
 
 /// An endpoint that this host may use, and its share of the endpoint's connections.
--- a/src/camphorstack/session_host/shutdown.cpp
+++ b/src/camphorstack/session_host/shutdown.cpp
@@ -61,7 +61,7 @@
     const auto sessions = state.sessions.size();
     state.stopped = true;
     end_sessions(state, now);
-    count_started_statements(state);
+    count_started_operations(state);
     send_last_usage(state, now);
     announce_shutdown(state);
     log_decision(state, "stopped",
--- a/src/camphorstack/session_host/usage_duty.cpp
+++ b/src/camphorstack/session_host/usage_duty.cpp
@@ -176,13 +176,13 @@
     }
 }
 
-void count_started_statements(session_host_state& state) {
+void count_started_operations(session_host_state& state) {
     const auto started = std::exchange(state.executor.started, {});
     if (!is_on(state)) {
         return;
     }
-    for (const auto& statement : started) {
-        count_statement(state.usage.counter, state.settings.usage, state.usage.clock, statement);
+    for (const auto& operation : started) {
+        count_operation(state.usage.counter, state.settings.usage, state.usage.clock, operation);
     }
 }
 
--- a/src/camphorstack/session_host/usage_duty.hpp
+++ b/src/camphorstack/session_host/usage_duty.hpp
@@ -6,14 +6,14 @@
 
 namespace camphorstack {
 
-// The usage duty at one host: counts the statements that its executor ran, reports the counts to the coordinator and, at the
+// The usage duty at one host: counts the operations that its executor ran, reports the counts to the coordinator and, at the
 // coordinator, reports closed windows to the platform. Does nothing if the settings name no usage window.
 
 /// Sends the counts that are due, and takes the holder's next step if this host is the coordinator.
 void usage_tick(session_host_state& state, instant now);
 
-/// Counts the statements that the executor has started.
-void count_started_statements(session_host_state& state);
+/// Counts the operations that the executor has started.
+void count_started_operations(session_host_state& state);
 
 /// Sends all counts that the coordinator has not confirmed; for a host that is about to exit.
 void send_last_usage(session_host_state& state, instant now);
--- a/src/camphorstack/usage/usage_counter.cpp
+++ b/src/camphorstack/usage/usage_counter.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-/// Most statements that wait for the fleet's time: some seconds of a busy host's.
+/// Most operations that wait for the fleet's time: some seconds of a busy host's.
 constexpr std::size_t max_unassigned = 20000;
 
-std::uint64_t count_unconfirmed(const std::map<workspace_id, counted_statements>& counts) {
+std::uint64_t count_unconfirmed(const std::map<workspace_id, counted_operations>& counts) {
     std::uint64_t sum = 0;
     for (const auto& [workspace, counted] : counts) {
         sum += counted.count - counted.confirmed;
@@ -63,8 +63,8 @@
     }
 }
 
-void count_statement(usage_counter& counter, const usage_settings& settings, const usage_clock& clock,
-                     const started_statement& started) {
+void count_operation(usage_counter& counter, const usage_settings& settings, const usage_clock& clock,
+                     const started_operation& started) {
     const auto sent = fleet_time(clock, started.sent);
     if (!sent) {
         if (counter.unassigned.size() < max_unassigned) {
@@ -95,7 +95,7 @@
     const auto time = fleet_time(clock, now);
     if (time && !counter.unassigned.empty()) {
         for (const auto& started : std::exchange(counter.unassigned, {})) {
-            count_statement(counter, settings, clock, started);
+            count_operation(counter, settings, clock, started);
         }
     }
     auto windows = unconfirmed_counts(counter);
--- a/src/camphorstack/usage/usage_counter.hpp
+++ b/src/camphorstack/usage/usage_counter.hpp
@@ -8,24 +8,24 @@
 
 namespace camphorstack {
 
-/// A statement of a workspace that an endpoint has run, or may have run.
-struct started_statement {
+/// An operation of a workspace that an endpoint has run, or may have run: a statement, or a transaction by its first one.
+struct started_operation {
     workspace_id workspace;
     instant sent;  ///< When it was sent to the endpoint.
 
-    friend bool operator==(const started_statement&, const started_statement&) = default;
+    friend bool operator==(const started_operation&, const started_operation&) = default;
 };
 
-/// A workspace's statements in one window.
-struct counted_statements {
+/// A workspace's operations in one window.
+struct counted_operations {
     std::uint64_t count = 0;
     std::uint64_t confirmed = 0;  ///< As far as the coordinator has confirmed them.
 };
 
 /// One host's counts for the usage reports.
 struct usage_counter {
-    std::map<usage_window, std::map<workspace_id, counted_statements>> windows;  ///< That are not settled.
-    std::vector<started_statement> unassigned;                                   ///< Counted once the fleet's time is known.
+    std::map<usage_window, std::map<workspace_id, counted_operations>> windows;  ///< That are not settled.
+    std::vector<started_operation> unassigned;                                   ///< Counted once the fleet's time is known.
     usage_window settled = 0;
     fence_number confirmed_by = 0;            ///< Fence of the coordinator that confirms the counts.
     std::optional<usage_report> unconfirmed;  ///< The last report, without a receipt.
@@ -35,9 +35,9 @@
     std::uint64_t all_counted = 0;  ///< Statements counted, for the metrics.
 };
 
-/// Counts a statement in the window in which it was sent.
-void count_statement(usage_counter& counter, const usage_settings& settings, const usage_clock& clock,
-                     const started_statement& started);
+/// Counts an operation in the window in which it was sent.
+void count_operation(usage_counter& counter, const usage_settings& settings, const usage_clock& clock,
+                     const started_operation& started);
 
 /// Returns the report to send now; nothing if none is due. `at_once`: whatever is not confirmed is due.
 [[nodiscard]] std::optional<usage_report> due_report(usage_counter& counter, const usage_settings& settings,
--- a/tests/hostile_callers/hostile_callers.tests.cpp
+++ b/tests/hostile_callers/hostile_callers.tests.cpp
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -10,10 +9,12 @@
 #include "platform/object_store.hpp"
 #include "platform/wire_instance.hpp"
 #include "soak/soak_host.hpp"
+#include "support/environment.hpp"
 #include "support/temporary_folder.hpp"
 
 using namespace camphorstack;
 using namespace camphorstack::hostile;
+using camphorstack::tests::environment_variable;
 
 namespace {
 
@@ -35,11 +36,6 @@
 
 const std::string start = "START books key-0\r\n";
 
-std::string environment_variable(const char* name, const std::string& fallback) {
-    const char* value = std::getenv(name);
-    return value == nullptr ? fallback : value;
-}
-
 /// One host as a process of its own, and stand-ins for the store and for a database of one instance.
 class host_under_load {
 public:
--- a/tests/soak/session_soak.tests.cpp
+++ b/tests/soak/session_soak.tests.cpp
@@ -1,21 +1,13 @@
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <iostream>
 
 #include "soak/soak_platform.hpp"
+#include "support/environment.hpp"
 #include "support/temporary_folder.hpp"
 
 using namespace camphorstack;
 using namespace camphorstack::soak;
-
-namespace {
-
-std::string environment_variable(const char* name, const std::string& fallback) {
-    const char* value = std::getenv(name);
-    return value == nullptr ? fallback : value;
-}
-
-}  // namespace
+using camphorstack::tests::environment_variable;
 
 // Guards against violated guarantees and failed recovery when hosts are killed, stopped or paused and the store or the primary
 // fails. Run by tools/soak, which sets the environment variables.
--- a/tests/usage/usage_parts.tests.cpp
+++ b/tests/usage/usage_parts.tests.cpp
@@ -59,7 +59,7 @@
     usage_clock clock;
     usage_counter counter;
     read_wall_clock(clock, start_ms, instant{0});
-    count_statement(counter, settings, clock, {"ws", instant{10}});
+    count_operation(counter, settings, clock, {"ws", instant{10}});
     CHECK(counter.windows.empty());
     adopt_time(clock, start_ms, instant{0});
     note_coordinator(counter, 3);
@@ -74,7 +74,7 @@
     CHECK(report->windows == std::vector<window_counts>{{first_window, {{"ws", 1}}}});
     SECTION("statements of settled windows are counted as lost") {
         receive_receipt(counter, clock, {4, instant{50}, first_window, 0}, instant{60});
-        count_statement(counter, settings, clock, {"ws", instant{70}});
+        count_operation(counter, settings, clock, {"ws", instant{70}});
         CHECK(counter.uncounted == 1);
         CHECK(counter.windows.empty());
     }
