Review: the scripts remove their temporary folders

Cause: each run of a script left its folder with settings and logs in the temporary directory (114 of them here). Change: Lab.stop removes it, after the logs' lines are in record.txt.

--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -9,6 +9,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -639,6 +640,7 @@
             for line in text.splitlines():
                 if re.search(r"event=(leader_|promotion_|duty_|transaction_refused|coordinator_|members_adopted)", line):
                     self.record.write(host.name + ".log", line[:300])
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name, service, kind, **more):
