Log the session of a request and the positions that decided where it ran

They have session= and after= (the position that the endpoint had to have) now, those of answered requests also position= (that of the endpoint's log).

The test fails before in 4 checks (lines without the fields).

--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -42,14 +42,19 @@
 }
 
 std::string describe(const caller_session& session, const open_operation& operation) {
-    return "request=" + log_value(operation.requested.id) + " workspace=" + log_value(operation.access.workspace) +
-           " database=" + log_value(session.database) + " service=" + log_value(operation.access.database);
+    return "request=" + log_value(operation.requested.id) + " session=" + std::to_string(session.id) +
+           " workspace=" + log_value(operation.access.workspace) + " database=" + log_value(session.database) +
+           " service=" + log_value(operation.access.database);
+}
+
+std::string describe(const std::optional<log_position>& position) {
+    return position ? std::to_string(position->term) + "." + std::to_string(position->index) : "none";
 }
 
 std::string describe_target(const open_operation& operation, instant now) {
     return " endpoint=" + log_value(operation.target.endpoint) + " host=" + log_value(operation.target.host) +
-           " round=" + std::to_string(operation.target.round) + " tried=" + std::to_string(operation.tried.size()) +
-           " ms=" + std::to_string((now - operation.arrived).count);
+           " round=" + std::to_string(operation.target.round) + " after=" + describe(operation.after) +
+           " tried=" + std::to_string(operation.tried.size()) + " ms=" + std::to_string((now - operation.arrived).count);
 }
 
 void clear_operation(session_host_state& state, caller_session& session) {
@@ -141,6 +146,7 @@
     auto& operation = *session.operation;
     operation.stage = operation_stage::running;
     operation.target = target;
+    operation.after = after;
     ++operation.attempts;
     operation.sent = now;
     operation.run = state.next_call++;
@@ -330,7 +336,7 @@
         // Slow requests have their own event kind and so their own rate limit in the log; fast ones cannot displace them.
         const bool is_slow = now - operation.arrived > operation.access.policy.target_latency;
         log_decision(state, is_slow ? "request_slow" : "request_done",
-                     describe(session, operation) + describe_target(operation, now));
+                     describe(session, operation) + describe_target(operation, now) + " position=" + describe(result.position));
     } else {
         log_decision(state, "request_failed",
                      describe(session, operation) + describe_target(operation, now) + " code=" + to_string(result.code) +
--- a/src/camphorstack/sessions/caller_session.hpp
+++ b/src/camphorstack/sessions/caller_session.hpp
@@ -66,6 +66,7 @@
     std::set<endpoint_id> tried;      ///< Endpoints that could not run the statement.
     int attempts = 0;                 ///< Runs started so far.
     bool at_leader = false;           ///< The statement must run at the leader because no replica is recent enough.
+    std::optional<log_position> after;  ///< Position that the endpoint of the current run must have reached.
     bool begins_transaction = false;  ///< The first statement of the session's transaction.
     instant not_before;               ///< While waiting for the leader: no run is started earlier.
     instant token_deadline;           ///< While waiting for tokens: the operation is refused then.
--- a/tests/session_fleet/log_fields.tests.cpp
+++ b/tests/session_fleet/log_fields.tests.cpp
@@ -88,3 +88,22 @@
         CHECK((!line.is_request || line.text.find(" code=failed ") != std::string::npos));
     }
 }
+
+// Guards against a log that does not tell whose write a read lacks, and why the read ran where it did.
+TEST_CASE("the log names the session of a request and the positions that decided where it ran", "[session-fleet][log-fields]") {
+    session_fleet fleet;
+    fleet.run_for(start_time);
+    const auto session = fleet.open_session("host-3", consistency::read_your_writes);
+    REQUIRE(fleet.ask(session, write_statement("w", "item", "1")).code == result_code::none);
+    fleet.run_for(millis{700});
+    REQUIRE(fleet.ask(session, read_statement("r", "item")).code == result_code::none);
+    const auto line_of = [&](const std::string& request) {
+        const auto found = std::ranges::find_if(
+            fleet.log, [&](const auto& entry) { return entry.find(" request=" + request + " ") != std::string::npos; });
+        return found == fleet.log.end() ? std::string() : *found;
+    };
+    CHECK_THAT(line_of("w"), Catch::Contains(" session=" + std::to_string(session) + " "));
+    CHECK_THAT(line_of("w"), Catch::Contains(" after=none ") && Catch::EndsWith(" position=1.1"));
+    CHECK_THAT(line_of("r"), Catch::Contains(" session=" + std::to_string(session) + " "));
+    CHECK_THAT(line_of("r"), Catch::Contains(" after=1.1 ") && Catch::EndsWith(" position=1.1"));
+}
