Keep a session's last write of each database

Cause: a session kept position, round and time of its last write of whatever database. The write in the second service replaced those of the first, and replicas of the first were asked for a position in the second's log. With an unlike round, the session's write was not asked for at all, or no replica was asked any more.

Change: they are kept by database, and a read uses those of its own. A session that never moved has one entry and is routed as before. A field of operations that was never set (at_leader) is gone.

--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -320,9 +320,7 @@
 void record_success(caller_session& session, const open_operation& operation, const run_result& result, instant now) {
     const bool wrote = operation.kind == run_kind::commit || (operation.kind == run_kind::write && !session.transaction);
     if (wrote && result.position && operation.target.round != 0) {
-        session.written = result.position;
-        session.written_round = operation.target.round;
-        session.written_at = now;
+        session.last_writes[operation.access.database] = {operation.target.round, *result.position, now};
     }
 }
 
--- a/src/camphorstack/session_host/routing.cpp
+++ b/src/camphorstack/session_host/routing.cpp
@@ -47,6 +47,11 @@
     return serving ? &found->second.record : nullptr;
 }
 
+const session_write* find_last_write(const caller_session& session, const database_id& database) {
+    const auto found = session.last_writes.find(database);
+    return found == session.last_writes.end() ? nullptr : &found->second;
+}
+
 /// Returns the position that a replica must have reached to serve the read; nothing if no known position is recent enough.
 std::optional<log_position> required_position(session_host_state& state, const caller_session& session,
                                               const open_operation& operation, instant now) {
@@ -56,14 +61,15 @@
     const auto& samples = state.samples[database];
     const auto cutoff = operation.arrived - policy.max_staleness + state.settings.entry.staleness_margin;
     auto position = position_since(samples, cutoff);
-    if (!position || policy.reads != consistency::read_your_writes || !session.written) {
+    const auto* written = find_last_write(session, database);
+    // The log of a later leader continues what was kept of the earlier one's, so any position of the later leader is sufficient.
+    if (!position || policy.reads != consistency::read_your_writes || written == nullptr || written->round < samples.round) {
         return position;
     }
-    if (session.written_round == samples.round) {
-        return std::max(*position, *session.written);
+    if (written->round > samples.round) {
+        return std::nullopt;
     }
-    // The log of a later leader continues what was kept of the earlier one's, so any position of the later leader is sufficient.
-    return session.written_round < samples.round ? position : std::nullopt;
+    return std::max(*position, written->position);
 }
 
 }  // namespace
@@ -103,7 +109,7 @@
 std::optional<read_plan> choose_read(session_host_state& state, const caller_session& session, const open_operation& operation,
                                      instant now) {
     const auto& access = operation.access;
-    const bool leader_only = access.policy.reads == consistency::primary || operation.at_leader;
+    const bool leader_only = access.policy.reads == consistency::primary;
     const auto leader = leader_target(state, access);
     std::vector<read_plan> plans;
     std::vector<endpoint_candidate> candidates;
@@ -121,7 +127,8 @@
     if (leader_only) {
         return best();
     }
-    const bool fresh_write = session.written && now - session.written_at < state.settings.entry.fresh_write_time;
+    const auto* written = find_last_write(session, access.database);
+    const bool fresh_write = written != nullptr && now - written->acknowledged < state.settings.entry.fresh_write_time;
     const auto position = required_position(state, session, operation, now);
     if (!position || (fresh_write && !plans.empty())) {
         return best();
--- a/src/camphorstack/sessions/caller_session.hpp
+++ b/src/camphorstack/sessions/caller_session.hpp
@@ -63,13 +63,21 @@
     run_id run = 0;
     run_target target;
     instant sent;
-    std::set<endpoint_id> tried;      ///< Endpoints that could not run the statement.
-    int attempts = 0;                 ///< Runs started so far.
-    bool at_leader = false;           ///< The statement must run at the leader because no replica is recent enough.
+    std::set<endpoint_id> tried;        ///< Endpoints that could not run the statement.
+    int attempts = 0;                   ///< Runs started so far.
     std::optional<log_position> after;  ///< Position that the endpoint of the current run must have reached.
-    bool begins_transaction = false;  ///< The first statement of the session's transaction.
-    instant not_before;               ///< While waiting for the leader: no run is started earlier.
-    instant token_deadline;           ///< While waiting for tokens: the operation is refused then.
+    bool begins_transaction = false;    ///< The first statement of the session's transaction.
+    instant not_before;                 ///< While waiting for the leader: no run is started earlier.
+    instant token_deadline;             ///< While waiting for tokens: the operation is refused then.
+};
+
+/// A session's last acknowledged write of one database.
+struct session_write {
+    leader_round round = 0;
+    log_position position;  ///< In the database's log, at or after the write.
+    instant acknowledged;
+
+    friend bool operator==(const session_write&, const session_write&) = default;
 };
 
 /// A caller's connection and its state. Connections to endpoints are not sessions: statements of many sessions share them.
@@ -82,9 +90,7 @@
     std::size_t held_bytes = 0;                      ///< Names, values and shapes.
     session_state state = session_state::idle;
     std::optional<session_transaction> transaction;
-    std::optional<log_position> written;  ///< Log position of the session's last acknowledged write.
-    leader_round written_round = 0;
-    instant written_at;
+    std::map<database_id, session_write> last_writes;  ///< A route may lead to several databases, one after the other.
     std::optional<open_operation> operation;
     std::deque<statement> waiting;  ///< Statements that the caller has sent ahead, without waiting for the current one's answer.
     bool sends_ahead = false;       ///< The caller has sent a statement before it had the answer to the one before.
