End an open transaction when its key is passed on to another workspace

An open transaction of the key went on: more than 3 s later 4 statements and a commit still ran for the former workspace.

Cause: reason_to_abort asked whether any workspace holds the key, not whether it is the transaction's.

Change: the transaction ends with ABORTED and is rolled back unless its own workspace holds the key. The caller's next statement runs for the workspace that does.

--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -480,8 +480,14 @@
 /// Returns the reason for which the session's transaction must not go on; null if it may.
 const char* reason_to_abort(const session_host_state& state, const caller_session& session, instant now) {
     const auto& policy = session.transaction->access.policy;
-    if (policy.needs_key && !state.catalog.workspace_by_key.contains(session.key_sha256)) {
-        return "the key was withdrawn";
+    if (policy.needs_key) {
+        const auto holder = state.catalog.workspace_by_key.find(session.key_sha256);
+        if (holder == state.catalog.workspace_by_key.end()) {
+            return "the key was withdrawn";
+        }
+        if (holder->second != session.transaction->access.workspace) {
+            return "the key was passed on to another workspace";
+        }
     }
     if (!may_serve(state, now)) {
         return no_recent_document;
