Remember a write whose answer named no position

What callers could see: an endpoint may leave the position out of the answer to a write. The session's next reads then asked for the position of the write before it, and a replica without the newer write served them.

Cause: record_success kept the last write only if its position was known.

Change: the write is kept without one. Reads then need a position that the primary named when it was asked after the acknowledgement; until there is one they go to the primary.

--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -319,8 +319,8 @@
 
 void record_success(caller_session& session, const open_operation& operation, const run_result& result, instant now) {
     const bool wrote = operation.kind == run_kind::commit || (operation.kind == run_kind::write && !session.transaction);
-    if (wrote && result.position && operation.target.round != 0) {
-        session.last_writes[operation.access.database] = {operation.target.round, *result.position, now};
+    if (wrote && operation.target.round != 0) {
+        session.last_writes[operation.access.database] = {operation.target.round, result.position, now};
     }
 }
 
--- a/src/camphorstack/session_host/routing.cpp
+++ b/src/camphorstack/session_host/routing.cpp
@@ -69,7 +69,8 @@
     if (written->round > samples.round) {
         return std::nullopt;
     }
-    return std::max(*position, written->position);
+    return written->position ? std::max(*position, *written->position)
+                             : position_since(samples, std::max(cutoff, written->acknowledged));
 }
 
 }  // namespace
--- a/src/camphorstack/sessions/caller_session.hpp
+++ b/src/camphorstack/sessions/caller_session.hpp
@@ -74,7 +74,7 @@
 /// A session's last acknowledged write of one database.
 struct session_write {
     leader_round round = 0;
-    log_position position;  ///< In the database's log, at or after the write.
+    std::optional<log_position> position;  ///< In the database's log, at or after the write; empty if the answer named none.
     instant acknowledged;
 
     friend bool operator==(const session_write&, const session_write&) = default;
--- a/tests/session_fleet/database_model.cpp
+++ b/tests/session_fleet/database_model.cpp
@@ -62,6 +62,11 @@
            (requested.command == endpoint_command::statement && requested.text == "COMMIT");
 }
 
+bool commits(const endpoint_statement& requested) {
+    return requested.command == endpoint_command::statement &&
+           (requested.text == "COMMIT" || fields_of(requested.text, 2).front() == "WRITE");
+}
+
 bool is_about_instance(const endpoint_statement& requested) {
     return requested.command == endpoint_command::reset || requested.command == endpoint_command::status ||
            requested.command == endpoint_command::demote;
@@ -108,7 +113,9 @@
         from.transaction->failed = true;
     }
     reply.state = state_of(from);
-    reply.position = applied_end(instance);
+    if (!this->hides_positions_of_writes || !commits(requested)) {
+        reply.position = applied_end(instance);
+    }
     if (this->records_answers) {
         observed.reply = reply;
         this->answers.push_back(std::move(observed));
--- a/tests/session_fleet/database_model.hpp
+++ b/tests/session_fleet/database_model.hpp
@@ -102,7 +102,8 @@
     std::vector<observed_run> runs;
     std::string error_text;  ///< If not empty, each statement fails with this text.
     bool records_answers = false;
-    std::vector<observed_answer> answers;  ///< All answers, if `records_answers`.
+    std::vector<observed_answer> answers;    ///< All answers, if `records_answers`.
+    bool hides_positions_of_writes = false;  ///< Answers to writes and commits name no position of the log.
     /// Returns an error with which the instance answers a statement: `failed` after the statement has run, others in place of
     /// running it.
     std::function<std::optional<result_code>(const endpoint_id&, const endpoint_statement&)> refuse;
