Report the closing of each round of a leader at once

What callers could see: writes waited up to 300 ms longer than necessary in a change of leader, if a host had reported an earlier change and missed the record between the two.

Cause: the time of the last report was kept by database, whatever the round, and suppressed the report for the next round.

Change: the round is kept with the time.

--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -83,6 +83,14 @@
     bool all_hosts = false;
 };
 
+/// A report to the coordinator that this host's work on a leader has ended.
+struct closing_report {
+    leader_round round = 0;
+    instant sent;
+
+    friend bool operator==(const closing_report&, const closing_report&) = default;
+};
+
 /// An unreachable interval of a member, and when this host learned of it.
 struct known_unreachable_interval {
     unreachable_interval_number number = 0;
@@ -165,10 +173,10 @@
     std::optional<std::uint64_t> claim_call;                              ///< Write of this host's `unreachable_claim` in flight.
     instant claim_not_before;
     instant last_removal;  ///< When a member was last removed that had not announced its end and might still use leaders.
-    std::map<database_id, instant> closing_seen;      ///< When this host learned of a change that has not ended.
-    std::map<database_id, instant> closing_reported;  ///< When this host last reported that its work on the leader has ended.
-    std::map<endpoint_id, instant> missing_since;     ///< Since when leaders have no entry in the store.
-    std::map<endpoint_id, instant> suspected_since;   ///< Since when leaders are suspected by a host.
+    std::map<database_id, instant> closing_seen;             ///< When this host learned of a change that has not ended.
+    std::map<database_id, closing_report> closing_reported;  ///< Last report of a change that has not ended.
+    std::map<endpoint_id, instant> missing_since;            ///< Since when leaders have no entry in the store.
+    std::map<endpoint_id, instant> suspected_since;          ///< Since when leaders are suspected by a host.
     std::map<endpoint_id, discounted_suspicion> discounted_suspicions;  ///< Of leaders.
     std::map<endpoint_id, instant> leaders_kept_at;                     ///< When a suspected leader was last kept, by endpoint.
     std::map<database_id, term_number> newest_terms;  ///< Highest term that an endpoint of the database reported.
--- a/src/camphorstack/coordination/leader_closing.cpp
+++ b/src/camphorstack/coordination/leader_closing.cpp
@@ -9,11 +9,11 @@
 
 void report_closed(session_host_state& state, const leader_record& record, instant now) {
     auto& coordination = state.coordination;
-    const auto reported = coordination.closing_reported.find(record.database);
-    if (reported != coordination.closing_reported.end() && now - reported->second < repeat_interval) {
+    auto& reported = coordination.closing_reported[record.database];
+    if (reported.round == record.round && now - reported.sent < repeat_interval) {
         return;
     }
-    coordination.closing_reported[record.database] = now;
+    reported = {record.round, now};
     if (!state.catalog.coordinator) {
         return;
     }
