Do not serve a database at an endpoint that has become another one's

What callers could see: the store's entry of a database's leader changes to another database. Hosts went on to write there, and the leader was never replaced.

Cause: leader records, leases, status answers, positions and suspicions are kept by endpoint id, and nothing compared their database with that of the endpoint's entry.

Change: a leader whose entry names another database gets no lease, no operation and no status request, and counts as gone, so that the database gets another leader. The executor drops the queue, the connections and all that it has learnt of an endpoint whose database changes.

--- a/src/camphorstack/coordination/candidates.cpp
+++ b/src/camphorstack/coordination/candidates.cpp
@@ -49,7 +49,7 @@
     const auto& old = change.record.endpoint;
     const auto* status = status_of(change, old);
     return status != nullptr && status->is_primary && !is_primary_of_later_term(change, best, old) &&
-           state.catalog.endpoints.contains(old);
+           find_endpoint_of(state, change.record.database, old) != nullptr;
 }
 
 }  // namespace
@@ -144,7 +144,7 @@
     }
     // The old leader gets some time to report its status.
     const bool may_be_primary = !timed_out && status_of(change, change.record.endpoint) == nullptr &&
-                                state.catalog.endpoints.contains(change.record.endpoint);
+                                find_endpoint_of(state, change.record.database, change.record.endpoint) != nullptr;
     if (may_be_primary) {
         return std::nullopt;
     }
--- a/src/camphorstack/coordination/endpoint_requests.cpp
+++ b/src/camphorstack/coordination/endpoint_requests.cpp
@@ -18,6 +18,9 @@
     if (waits) {
         return;
     }
+    if (is_endpoint_of_other(state, change.record.database, endpoint)) {
+        return;
+    }
     auto request = make_administrative_run(state, endpoint, run_kind::status, state.coordination.settings.status_timeout);
     if (!request) {
         return;
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -34,8 +34,8 @@
 
 std::optional<change_reason> reason_to_change(session_host_state& state, const leader_record& record, instant now) {
     auto& coordination = state.coordination;
-    const auto found = state.catalog.endpoints.find(record.endpoint);
-    const bool missing = found == state.catalog.endpoints.end();
+    const auto* entry = find_endpoint_of(state, record.database, record.endpoint);
+    const bool missing = entry == nullptr;
     if (holds_for(coordination.missing_since, record.endpoint, missing && has_store_settled(state, now),
                   coordination.settings.endpoint_missing_timeout, now)) {
         return change_reason{"endpoint_gone", true};
@@ -47,10 +47,10 @@
     if (holds_for(coordination.suspected_since, record.endpoint, suspected, coordination.settings.suspicion_time, now)) {
         return change_reason{"endpoint_suspected", false};
     }
-    if (found->second.draining) {
+    if (entry->draining) {
         return change_reason{"endpoint_draining", true};
     }
-    if (state.catalog.evacuated.contains(found->second.location)) {
+    if (state.catalog.evacuated.contains(entry->location)) {
         return change_reason{"data_centre_evacuated", true};
     }
     return std::nullopt;
@@ -111,7 +111,7 @@
 /// leader has, unless the old leader's status stays unknown or the time to catch up is over.
 bool may_succeed(const session_host_state& state, const leader_change& change, const endpoint_id& candidate, millis elapsed) {
     const auto& settings = state.coordination.settings;
-    if (!change.record.planned || !state.catalog.endpoints.contains(change.record.endpoint)) {
+    if (!change.record.planned || find_endpoint_of(state, change.record.database, change.record.endpoint) == nullptr) {
         return true;
     }
     const auto* old = status_of(change, change.record.endpoint);
@@ -166,7 +166,8 @@
 void retry_choice(session_host_state& state, leader_change& change, instant now) {
     change.refused_candidates.clear();
     const auto* status = status_of(change, change.record.endpoint);
-    if (status != nullptr && status->is_primary && state.catalog.endpoints.contains(change.record.endpoint)) {
+    if (status != nullptr && status->is_primary &&
+        find_endpoint_of(state, change.record.database, change.record.endpoint) != nullptr) {
         keep_old_leader(state, change, now);
         return;
     }
@@ -206,7 +207,7 @@
 void choose_successor_of_interim(session_host_state& state, leader_change& change, instant now) {
     auto candidates = candidates_of(state, change);
     std::erase(candidates, change.interim);
-    if (!state.catalog.endpoints.contains(change.interim)) {
+    if (find_endpoint_of(state, change.record.database, change.interim) == nullptr) {
         change.interim.clear();
         change.statuses.clear();
         change.step_began = now;
@@ -251,10 +252,10 @@
 /// Publishes the promoted endpoint as the leader. One that takes no new work only hands its log over to a successor, if there is
 /// any.
 void finish_promotion(session_host_state& state, leader_change& change, instant now) {
-    const auto entry = state.catalog.endpoints.find(change.target);
+    const auto* entry = find_endpoint_of(state, change.record.database, change.target);
     const bool is_interim = change.target != change.record.endpoint &&
-                            synchronous_replicas_of(state, change.record.database) > 0 &&
-                            entry != state.catalog.endpoints.end() && !takes_new_work(state, entry->second);
+                            synchronous_replicas_of(state, change.record.database) > 0 && entry != nullptr &&
+                            !takes_new_work(state, *entry);
     if (!is_interim) {
         demote_former_primaries(state, change, now);
         publish(state, change, change.target, now);
--- a/src/camphorstack/coordination/leader_closing.cpp
+++ b/src/camphorstack/coordination/leader_closing.cpp
@@ -38,10 +38,12 @@
             continue;
         }
         const auto seen = coordination.closing_seen.try_emplace(database, now).first->second;
-        if (record.planned && now - seen >= coordination.settings.close_limit) {
+        // The endpoint's lease and work are the other database's then.
+        const bool is_lost = is_endpoint_of_other(state, database, record.endpoint);
+        if (!is_lost && record.planned && now - seen >= coordination.settings.close_limit) {
             set_leader_lease(state.executor, record.endpoint, std::nullopt, now);
         }
-        if (is_leader_work_done(state.executor, record.endpoint)) {
+        if (is_lost || is_leader_work_done(state.executor, record.endpoint)) {
             report_closed(state, record, now);
         }
     }
--- a/src/camphorstack/coordination/leader_suspicion.cpp
+++ b/src/camphorstack/coordination/leader_suspicion.cpp
@@ -60,7 +60,7 @@
     const auto known = change.statuses.find(leader);
     // After a promotion, only another one shows which endpoint is the primary. That takes as long as promoting a candidate.
     if (change.record.planned || change.promotion_sent || known == change.statuses.end() ||
-        !state.catalog.endpoints.contains(leader)) {
+        find_endpoint_of(state, change.record.database, leader) == nullptr) {
         return false;
     }
     const auto& [status, received_at] = known->second;
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -425,6 +425,25 @@
     }
 }
 
+/// Ends all work at an endpoint that has become another database's. What was learnt of it before no longer holds.
+void forget_endpoint(executor_state& state, endpoint_executor& endpoint) {
+    constexpr const char* reason = "the endpoint belongs to another database now";
+    endpoint.connection_limit = 0;
+    refuse_queue(
+        state, endpoint, [](const submitted_run&) { return true; }, reason);
+    const auto ids = endpoint.connections;
+    for (const auto id : ids) {
+        end_connection(state, id, result_code::busy, reason);
+    }
+    // The results must not carry positions of the endpoint's new database.
+    for (auto& item : state.results) {
+        if (item.endpoint == endpoint.entry.id) {
+            item.endpoint.clear();
+        }
+    }
+    endpoint = {};
+}
+
 }  // namespace
 
 void set_endpoints(executor_state& state, const std::map<endpoint_id, endpoint_share>& shares, instant now) {
@@ -435,6 +454,9 @@
     }
     for (const auto& [id, share] : shares) {
         auto& endpoint = state.endpoints[id];
+        if (endpoint.entry.database != share.entry.database) {
+            forget_endpoint(state, endpoint);
+        }
         endpoint.entry = share.entry;
         endpoint.connection_limit = share.connection_limit;
     }
--- a/src/camphorstack/session_host/catalog_updates.cpp
+++ b/src/camphorstack/session_host/catalog_updates.cpp
@@ -340,6 +340,9 @@
     for (const auto& [database, stored] : state.catalog.leaders) {
         const auto& record = stored.record;
         const bool closing = record.phase == leader_phase::changing;
+        if (is_endpoint_of_other(state, database, record.endpoint)) {
+            continue;
+        }
         if (evidence && is_awaited_by_coordinator(state) && (!closing || record.planned)) {
             // During a planned change open transactions may still finish. They belong to the round of the previous record.
             const auto round = closing ? record.round - 1 : record.round;
--- a/src/camphorstack/session_host/routing.cpp
+++ b/src/camphorstack/session_host/routing.cpp
@@ -100,8 +100,8 @@
     if (leader == nullptr) {
         return std::nullopt;
     }
-    const auto found = state.catalog.endpoints.find(leader->endpoint);
-    if (found == state.catalog.endpoints.end() || !may_run_in(state, access, found->second.location)) {
+    const auto* entry = find_endpoint_of(state, access.database, leader->endpoint);
+    if (entry == nullptr || !may_run_in(state, access, entry->location)) {
         return std::nullopt;
     }
     return run_target{leader->endpoint, allowed_executor(state, access, leader->endpoint), leader->round};
--- a/src/camphorstack/session_host/session_host_state.cpp
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -77,6 +77,17 @@
                                                                : endpoint_distance::other_region;
 }
 
+const endpoint_entry* find_endpoint_of(const session_host_state& state, const database_id& database,
+                                       const endpoint_id& endpoint) {
+    const auto found = state.catalog.endpoints.find(endpoint);
+    const bool belongs = found != state.catalog.endpoints.end() && found->second.database == database;
+    return belongs ? &found->second : nullptr;
+}
+
+bool is_endpoint_of_other(const session_host_state& state, const database_id& database, const endpoint_id& endpoint) {
+    return state.catalog.endpoints.contains(endpoint) && find_endpoint_of(state, database, endpoint) == nullptr;
+}
+
 bool takes_new_work(const session_host_state& state, const endpoint_entry& endpoint) {
     return !endpoint.draining && !state.catalog.evacuated.contains(endpoint.location);
 }
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -153,6 +153,14 @@
 /// Returns how far a data centre is from this host's.
 [[nodiscard]] endpoint_distance distance_to(const session_host_state& state, const data_centre_id& location);
 
+/// Returns the endpoint's entry in the store; null if it has none, or belongs to another database.
+[[nodiscard]] const endpoint_entry* find_endpoint_of(const session_host_state& state, const database_id& database,
+                                                     const endpoint_id& endpoint);
+
+/// Returns true if the endpoint's entry in the store names another database.
+[[nodiscard]] bool is_endpoint_of_other(const session_host_state& state, const database_id& database,
+                                        const endpoint_id& endpoint);
+
 /// Returns true if the endpoint may receive new reads: it is not draining and its data centre is not evacuated.
 [[nodiscard]] bool takes_new_work(const session_host_state& state, const endpoint_entry& endpoint);
 
