Say what a host that is not ready waits for

Callers and operators saw hosts that were started and stayed silent: the start line alone in the log and an empty 503 from the readiness page, for as long as the store was silent, reset connections, or answered with an error or with nonsense.

Cause: failures of the store were logged only if it had answered before, and neither the log nor the page named what was missing.

Change: a host that is not ready logs event=not_ready with its reasons after a second, then at intervals that double up to a minute. It logs event=coordinator_wait likewise while no coordinator is known, it is in no member list or a database has no leader. The page lists the reasons in its 503. The adapter passes on why a call failed. Retries are as before.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -1,6 +1,7 @@
 #include "camphorstack/catalog/collection_watch.hpp"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace camphorstack {
@@ -20,8 +21,9 @@
 }
 
 /// Counts a failed call. Returns the delay before the retry.
-millis record_failure(collection_watch& watch, instant now) {
+millis record_failure(collection_watch& watch, const std::string& failure, instant now) {
     watch.reachable = false;
+    watch.failure = failure;
     const auto& settings = watch.settings;
     const auto max_delay = std::max(settings.max_retry_interval, settings.retry_interval);
     const auto doubled = settings.retry_interval * (std::int64_t{1} << std::min(watch.failures, max_retry_doublings));
@@ -32,6 +34,7 @@
 void record_answer(collection_watch& watch) {
     watch.reachable = true;
     watch.failures = 0;
+    watch.failure.clear();
 }
 
 void advance_evidence(collection_watch& watch, instant sent) {
@@ -50,13 +53,14 @@
 
 /// Schedules the next list after one that got no answer in time. The call has taken longer than a retry delay, so it is retried
 /// at once unless the evidence is fresh.
-void retry_expired_list(collection_watch& watch, instant now) {
-    const auto delay = record_failure(watch, now);
+void retry_expired_list(collection_watch& watch, millis limit, instant now) {
+    const auto delay = record_failure(watch, "no answer within " + std::to_string(limit.count) + " ms", now);
     restart_list(watch, has_fresh_evidence(watch, now) ? now + delay : now);
 }
 
 void retry_expired_watch(collection_watch& watch, instant now) {
     watch.reachable = false;
+    watch.failure = "a watch was not answered in time";
     watch.next_watch = now;
 }
 
@@ -69,13 +73,19 @@
     return answer.status == catalog_status::no_answer && now - sent >= limit;
 }
 
-std::optional<collection_update> receive_list(collection_watch& watch, const catalog_answer& answer, instant sent, instant now) {
-    if (has_expired(answer, sent, watch.settings.answer_timeout, now)) {
-        retry_expired_list(watch, now);
+std::string describe_failure(const catalog_answer& answer) {
+    return answer.failure.empty() ? to_string(answer.status) : answer.failure;
+}
+
+std::optional<collection_update> receive_list(collection_watch& watch, const catalog_answer& answer,
+                                              const pending_catalog_call& call, instant now) {
+    const auto sent = call.sent;
+    if (has_expired(answer, sent, call.limit, now)) {
+        retry_expired_list(watch, call.limit, now);
         return std::nullopt;
     }
     if (answer.status != catalog_status::done) {
-        restart_list(watch, now + record_failure(watch, now));
+        restart_list(watch, now + record_failure(watch, describe_failure(answer), now));
         return std::nullopt;
     }
     record_answer(watch);
@@ -122,7 +132,7 @@
         return std::nullopt;
     }
     if (answer.status != catalog_status::done) {
-        watch.next_watch = now + record_failure(watch, now);
+        watch.next_watch = now + record_failure(watch, describe_failure(answer), now);
         return std::nullopt;
     }
     record_answer(watch);
@@ -161,20 +171,20 @@
     return std::move(changes->update);
 }
 
-/// `limit` is that until the answer begins.
-bool timed_out(const std::optional<pending_catalog_call>& open, millis limit, instant now) {
-    return open && now - open->sent >= limit + (open->begun ? answer_transfer_timeout : millis{0});
+bool timed_out(const std::optional<pending_catalog_call>& open, instant now) {
+    return open && now - open->sent >= open->limit + (open->begun ? answer_transfer_timeout : millis{0});
 }
 
 }  // namespace
 
 std::vector<catalog_call> due_calls(collection_watch& watch, std::uint64_t& next_id, instant now) {
     std::vector<catalog_call> calls;
-    if (timed_out(watch.listing, watch.settings.answer_timeout, now)) {
+    if (timed_out(watch.listing, now)) {
+        const auto limit = watch.listing->limit;
         watch.listing.reset();
-        retry_expired_list(watch, now);
+        retry_expired_list(watch, limit, now);
     }
-    if (timed_out(watch.watching, watch_time_limit(watch), now)) {
+    if (timed_out(watch.watching, now)) {
         watch.watching.reset();
         retry_expired_watch(watch, now);
     }
@@ -183,7 +193,7 @@
     const bool list_wanted =
         watch.list_wanted || !watch.listed || watch.settings.list_interval > millis{0} || !watch.after.empty() || evidence_old;
     if (list_wanted && !watch.listing && now >= watch.next_list) {
-        watch.listing = pending_catalog_call{next_id++, now};
+        watch.listing = pending_catalog_call{next_id++, now, watch.settings.answer_timeout};
         watch.list_wanted = false;
         calls.push_back({watch.listing->id,
                          watch.collection_id,
@@ -193,11 +203,11 @@
                          millis{0},
                          "",
                          {},
-                         watch.settings.answer_timeout});
+                         watch.listing->limit});
     }
     const bool watches = watch.settings.watch_time > millis{0};
     if (watches && watch.listed && !watch.watching && now >= watch.next_watch) {
-        watch.watching = pending_catalog_call{next_id++, now};
+        watch.watching = pending_catalog_call{next_id++, now, watch_time_limit(watch)};
         calls.push_back({watch.watching->id,
                          watch.collection_id,
                          catalog_operation::watch,
@@ -274,8 +284,8 @@
         return receive_decoded(watch, answer, now);
     }
     if (watch.listing && watch.listing->id == answer.id) {
-        const auto sent = std::exchange(watch.listing, std::nullopt)->sent;
-        return receive_list(watch, answer, sent, now);
+        const auto call = *std::exchange(watch.listing, std::nullopt);
+        return receive_list(watch, answer, call, now);
     }
     if (watch.watching && watch.watching->id == answer.id) {
         const auto sent = std::exchange(watch.watching, std::nullopt)->sent;
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -35,6 +35,7 @@
 struct pending_catalog_call {
     std::uint64_t id = 0;
     instant sent;
+    millis limit;        ///< Time limit until the answer begins.
     bool begun = false;  ///< The answer has begun to arrive.
 
     friend bool operator==(const pending_catalog_call&, const pending_catalog_call&) = default;
@@ -104,6 +105,7 @@
     std::optional<instant> evidence;                   ///< Every change up to this instant of this host's clock is known.
     bool reachable = false;                            ///< The store answered the last call.
     int failures = 0;                                  ///< Number of failed calls in a row.
+    std::string failure;                               ///< What the last call failed of; empty if it was answered.
     std::optional<reported_change> lacking;            ///< Set by `note_reported_change`.
     std::optional<pending_catalog_request> requested;  ///< Request to another host in flight.
     bool relay_failed = false;                         ///< The last request to another host got no answer in time.
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -8,6 +8,7 @@
 #include "camphorstack/session_host/catalog_updates.hpp"
 #include "camphorstack/session_host/kept_links.hpp"
 #include "camphorstack/session_host/position_requests.hpp"
+#include "camphorstack/session_host/readiness.hpp"
 #include "camphorstack/session_host/session_entry.hpp"
 #include "camphorstack/session_host/session_host_state.hpp"
 #include "camphorstack/session_host/share_members.hpp"
@@ -76,6 +77,7 @@
     leader_changes_tick(state, now);
     usage_tick(state, now);
     update_serving(state, now);
+    readiness_tick(state, now);
     shutdown_tick(state, now);
     catalog_relay_tick(state, now);
     kept_links_tick(state, now);
@@ -349,11 +351,6 @@
     return std::exchange(state.actions, {});
 }
 
-bool is_ready(const session_host_state& state, instant now) {
-    return !state.stopping && may_serve(state, now) && watch_of(state, collection::endpoints).listed &&
-           watch_of(state, collection::fleet).listed;
-}
-
 instant next_tick(const session_host_state& state, instant now) {
     const bool busy = !state.runs.empty() || !state.waiting_sessions.empty() || count_open_work(state.executor) > 0 ||
                       !state.coordination.changes.empty();
--- a/src/camphorstack/session_host/session_host.hpp
+++ b/src/camphorstack/session_host/session_host.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 
 #include "camphorstack/session_host/session_host_events.hpp"
 #include "camphorstack/session_host/session_host_settings.hpp"
@@ -27,6 +28,9 @@
 /// Returns true if the load balancer may send new callers to this host.
 [[nodiscard]] bool is_ready(const session_host_state& state, instant now);
 
+/// Returns why the host is not ready, one reason a line; empty if it is ready.
+[[nodiscard]] std::string describe_unready(const session_host_state& state, instant now);
+
 /// Returns the time at which the next tick is due.
 [[nodiscard]] instant next_tick(const session_host_state& state, instant now);
 
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -81,6 +81,15 @@
     instant call_began;   ///< When the holder's call in flight was sent.
 };
 
+/// When a host last reported that it waits for something. The reports become rarer with time.
+struct wait_report {
+    std::optional<instant> since;  ///< Start of the wait; nothing if the host does not wait.
+    instant next;                  ///< Time of the next report.
+    millis interval;               ///< Between the last report and the next.
+
+    friend bool operator==(const wait_report&, const wait_report&) = default;
+};
+
 /// The complete state from which a session host makes its decisions.
 struct session_host_state {
     session_host_settings settings;
@@ -118,6 +127,8 @@
     std::size_t session_bytes = 0;                                ///< Session values and prepared shapes of all sessions.
     std::uint64_t relayed_answers = 0;  ///< Number of requests for changes that this host answered, for the metrics.
     std::map<std::string, std::string> logged_problems;  ///< Last logged problem of each object, by collection and name.
+    wait_report readiness_wait;
+    wait_report coordination_wait;
     bool serving = false;
     bool stopping = false;
     bool stopped = false;
--- a/src/camphorstack/session_host/session_host_task.cpp
+++ b/src/camphorstack/session_host/session_host_task.cpp
@@ -28,6 +28,7 @@
         make_links([this](session_host_event event) { this->on_event(std::move(event)); },
                    monitoring_callbacks{
                        [this]() { return is_ready(*this->host, this->source_of_time.now()); },
+                       [this]() { return describe_unready(*this->host, this->source_of_time.now()); },
                        [this]() { return this->metrics.render() + render_metrics(*this->host, this->source_of_time.now()); }});
     this->read_wall_clock();
     this->on_event(tick{});
--- a/src/camphorstack/session_host/session_links.hpp
+++ b/src/camphorstack/session_host/session_links.hpp
@@ -14,6 +14,7 @@
 /// Callbacks through which the links answer readiness and metrics requests.
 struct monitoring_callbacks {
     std::function<bool()> is_ready;
+    std::function<std::string()> unready_text;  ///< Why the host is not ready, one reason a line.
     std::function<std::string()> metrics;
 };
 
