Let a host start although the store answers slowly

Callers saw hosts that never became ready while the store took more than 0.7 s for each answer, though every answer was valid.

Cause: a list was given up after 0.7 s and sent again, each time with the same limit, so none ever arrived.

Change: without recent evidence, every second list of a collection that got no answer in time has a longer limit, up to four times the usual one. The collections take turns and the lists in between keep the usual limit, so that the end of an outage is found as soon as before. An extended list is given up when the store has answered another call sooner.

The new test of collection_watch needs the new limits and retry_now; on the code before, the second list has the usual limit.

--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -15,11 +15,24 @@
 }
 
 constexpr int max_retry_doublings = 4;
+/// The longest time limit of a list is the usual one, doubled this many times.
+constexpr int max_limit_doublings = 2;
 
 bool has_fresh_evidence(const collection_watch& watch, instant now) {
     return watch.evidence && now - *watch.evidence < watch.settings.fresh_evidence_age;
 }
 
+/// Returns the time limit of the next list. A store that answers slowly must not keep a host from ever getting a list, so the limit
+/// is extended for every second list in a row that got no answer in time. The lists in between, and those of other collections,
+/// keep the usual limit, because after an outage they find out sooner that the store answers again.
+millis list_time_limit(const collection_watch& watch, instant now) {
+    const auto turn = watch.expired_lists + static_cast<int>(watch.collection_id);
+    if (has_fresh_evidence(watch, now) || turn % 2 == 0) {
+        return watch.settings.answer_timeout;
+    }
+    return watch.settings.answer_timeout * (std::int64_t{1} << std::min((watch.expired_lists + 1) / 2, max_limit_doublings));
+}
+
 /// Counts a failed call. Returns the delay before the retry.
 millis record_failure(collection_watch& watch, const std::string& failure, instant now) {
     watch.reachable = false;
@@ -34,6 +47,7 @@
 void record_answer(collection_watch& watch) {
     watch.reachable = true;
     watch.failures = 0;
+    watch.expired_lists = 0;
     watch.failure.clear();
 }
 
@@ -54,6 +68,7 @@
 /// Schedules the next list after one that got no answer in time. The call has taken longer than a retry delay, so it is retried
 /// at once unless the evidence is fresh.
 void retry_expired_list(collection_watch& watch, millis limit, instant now) {
+    ++watch.expired_lists;
     const auto delay = record_failure(watch, "no answer within " + std::to_string(limit.count) + " ms", now);
     restart_list(watch, has_fresh_evidence(watch, now) ? now + delay : now);
 }
@@ -193,7 +208,7 @@
     const bool list_wanted =
         watch.list_wanted || !watch.listed || watch.settings.list_interval > millis{0} || !watch.after.empty() || evidence_old;
     if (list_wanted && !watch.listing && now >= watch.next_list) {
-        watch.listing = pending_catalog_call{next_id++, now, watch.settings.answer_timeout};
+        watch.listing = pending_catalog_call{next_id++, now, list_time_limit(watch, now)};
         watch.list_wanted = false;
         calls.push_back({watch.listing->id,
                          watch.collection_id,
@@ -221,7 +236,21 @@
     return calls;
 }
 
-void skip_retry_delay(collection_watch& watch, instant now) {
+millis time_since_call(const collection_watch& watch, std::uint64_t id, instant now) {
+    for (const auto& open : {watch.listing, watch.watching}) {
+        if (open && open->id == id) {
+            return now - open->sent;
+        }
+    }
+    return millis{0};
+}
+
+void retry_now(collection_watch& watch, millis answer_time, instant now) {
+    const auto& open = watch.listing;
+    if (open && !open->begun && now - open->sent >= watch.settings.answer_timeout + answer_time) {
+        watch.listing.reset();
+        restart_list(watch, now);
+    }
     if (watch.failures > 0) {
         watch.next_list = std::min(watch.next_list, now);
         watch.next_watch = std::min(watch.next_watch, now);
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -105,6 +105,7 @@
     std::optional<instant> evidence;                   ///< Every change up to this instant of this host's clock is known.
     bool reachable = false;                            ///< The store answered the last call.
     int failures = 0;                                  ///< Number of failed calls in a row.
+    int expired_lists = 0;                             ///< Number of lists without an answer in time since the last answer.
     std::string failure;                               ///< What the last call failed of; empty if it was answered.
     std::optional<reported_change> lacking;            ///< Set by `note_reported_change`.
     std::optional<pending_catalog_request> requested;  ///< Request to another host in flight.
@@ -112,8 +113,12 @@
     std::optional<relayed_changes> decoding;           ///< Changes that another host has sent.
 };
 
-/// Makes a delayed retry due now. Called when the store has answered a call for another collection.
-void skip_retry_delay(collection_watch& watch, instant now);
+/// Makes a delayed retry due now. Called when the store has answered a call for another collection, which took `answer_time`. Gives
+/// up a list that has had so much time in addition to the usual limit, as the store answers faster than that now.
+void retry_now(collection_watch& watch, millis answer_time, instant now);
+
+/// Returns the time since a pending call was sent; 0 if it is not a list or a watch of this collection.
+[[nodiscard]] millis time_since_call(const collection_watch& watch, std::uint64_t id, instant now);
 
 /// Returns the calls that are due now. Their ids are taken from `next_id`.
 std::vector<catalog_call> due_calls(collection_watch& watch, std::uint64_t& next_id, instant now);
--- a/src/camphorstack/session_host/session_host.cpp
+++ b/src/camphorstack/session_host/session_host.cpp
@@ -136,6 +136,7 @@
         }
         const bool was_reachable = watch.reachable;
         const auto previous_evidence = watch.evidence;
+        const auto answer_time = time_since_call(watch, answer.id, now);
         const auto update = receive_answer(watch, answer, now);
         if (watch.reachable != was_reachable) {
             log_decision(state, watch.reachable ? "store_reached" : "store_lost",
@@ -144,7 +145,7 @@
         }
         if (watch.reachable && !was_reachable) {
             for (auto& other : state.catalog.watches) {
-                skip_retry_delay(other, now);
+                retry_now(other, answer_time, now);
             }
         }
         if (update) {
--- a/tests/catalog/collection_watch.tests.cpp
+++ b/tests/catalog/collection_watch.tests.cpp
@@ -246,7 +246,7 @@
     }
     SECTION("an answer for another collection ends the delay") {
         refuse(at);
-        skip_retry_delay(watch, at + millis{10});
+        retry_now(watch, millis{5}, at + millis{10});
         CHECK(due_calls(watch, next, at + millis{10}).size() == 1);
     }
     SECTION("an answer resets the delay") {
@@ -258,6 +258,33 @@
     }
 }
 
+// Guards against a host that never starts although the store answers, because each answer takes longer than the time limit.
+TEST_CASE("every second list without an answer in time gets a longer time limit", "[collection-watch][start]") {
+    auto watch = make_watch();
+    std::uint64_t next = 1;
+    instant at{0};
+    for (const std::int64_t limit : {500, 1000, 500, 2000, 500}) {
+        const auto calls = due_calls(watch, next, at);
+        REQUIRE(calls.size() == 1);
+        CHECK(calls[0].answer_timeout == millis{limit});
+        CHECK(due_calls(watch, next, at + millis{limit - 1}).empty());
+        at = at + millis{limit};
+    }
+    const auto extended = due_calls(watch, next, at);
+    REQUIRE(extended.size() == 1);
+    REQUIRE(extended[0].answer_timeout == millis{2000});
+    SECTION("an answer within the longer limit counts, and the usual limit applies again") {
+        CHECK(receive_answer(watch, answer_to(extended[0], 40), at + millis{1900}));
+        CHECK(watch.expired_lists == 0);
+    }
+    SECTION("the call is given up when the store has answered another one sooner") {
+        retry_now(watch, millis{5}, at + millis{504});
+        CHECK(due_calls(watch, next, at + millis{504}).empty());
+        retry_now(watch, millis{5}, at + millis{505});
+        CHECK(due_calls(watch, next, at + millis{505}).size() == 1);
+    }
+}
+
 // Guards against a removed endpoint or a withdrawn evacuation that is in use again, because changes that another host sent
 // earlier were applied after a newer answer of the store.
 TEST_CASE("changes of another host are dropped if the store has answered meanwhile", "[collection-watch][catalog-relay]") {
