End a start that cannot go on with an error

Operators saw session hosts that neither served nor said why: with 12 descriptors one ran and answered no probe, with a pipe as its settings file it waited for ever, and at the limit on file sizes SIGXFSZ ended it without a word. An exception of a library aborted the process.

Change: the start ends with an error if fewer than 64 descriptors are allowed or the settings file is not a regular file; SIGXFSZ is ignored, as SIGPIPE is; exceptions that are not ours end the command with a message and an exit code.

--- a/src/camphorstack/cli/command.cpp
+++ b/src/camphorstack/cli/command.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <exception>
 #include <iostream>
 
 #include "camphorstack/cli/exit_codes.hpp"
@@ -61,6 +62,10 @@
     } catch (const error& failure) {
         std::cerr << "camphorstack " << chosen.name << ": " << failure.what() << '\n';
         return exit_usage;
+    } catch (const std::exception& failure) {
+        // Of a library, such as a lack of memory or of a source of random numbers.
+        std::cerr << "camphorstack " << chosen.name << ": unexpected failure: " << failure.what() << '\n';
+        return exit_usage;
     }
 }
 
--- a/src/camphorstack/cli/serve_sessions.cpp
+++ b/src/camphorstack/cli/serve_sessions.cpp
@@ -5,6 +5,7 @@
 #include <glib-unix.h>
 #include <glog/logging.h>
 #include <malloc.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -42,6 +43,24 @@
     return text.str();
 }
 
+/// Throws io_error if the system allows too few open files and sockets for a host to serve at all.
+void require_descriptors() {
+    /// Listening sockets, the main loop, links to the store and to a few peers, endpoints and callers.
+    constexpr rlim_t least_descriptors = 64;
+    rlimit allowed{};
+    if (getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur < least_descriptors) {
+        throw io_error("the limit of open files is " + std::to_string(allowed.rlim_cur) + ": at least " +
+                       std::to_string(least_descriptors) + " are needed");
+    }
+}
+
+/// Throws io_error if the path names something that can block the start when it is read, such as a pipe.
+void require_regular_file(const std::string& path) {
+    if (g_file_test(path.c_str(), G_FILE_TEST_EXISTS) != FALSE && g_file_test(path.c_str(), G_FILE_TEST_IS_REGULAR) == FALSE) {
+        throw io_error("the settings file " + path + " is not a regular file");
+    }
+}
+
 struct main_loop_deleter {
     void operator()(GMainLoop* loop) const { g_main_loop_unref(loop); }
 };
@@ -126,6 +145,8 @@
         std::cerr << "usage: camphorstack serve-sessions --settings=FILE\n";
         return exit_usage;
     }
+    require_descriptors();
+    require_regular_file(file);
     // Connections go to IP addresses: neither a proxy nor stored desktop settings are needed, and reading them costs start-up
     // time.
     g_setenv("GSETTINGS_BACKEND", "memory", TRUE);
@@ -138,6 +159,8 @@
     }
     // Writing to a connection that the peer has closed returns an error; the signal would end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // So does writing to a log file that has reached the limit on file sizes.
+    std::signal(SIGXFSZ, SIG_IGN);
     // Large buffers go back to the system when they are freed; without a fixed threshold the allocator keeps ever larger ones.
     mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
     mallopt(M_TRIM_THRESHOLD, mapped_block_bytes);
