Do not disconnect a handler of peers that was never connected

A host whose address for peers is in use printed a failed assertion of GLib before its error: the clean-up disconnected a signal handler that is connected only after the address has been bound. It is cleared only if it is set now.

Evidence: condition takenpeer on shows "GLib-GObject-CRITICAL ... assertion 'handler_id > 0' failed"; now the error alone. A new case of tests/platform/start.tests.cpp counts such assertions.

--- a/src/camphorstack/links/peer_links.cpp
+++ b/src/camphorstack/links/peer_links.cpp
@@ -110,7 +110,8 @@
 
 peer_links::state::~state() {
     if (this->service) {
-        g_signal_handler_disconnect(this->service.get(), this->incoming_handler);
+        // Without a handler if the address could not be bound.
+        g_clear_signal_handler(&this->incoming_handler, this->service.get());
         g_socket_service_stop(this->service.get());
         g_socket_listener_close(G_SOCKET_LISTENER(this->service.get()));
     }
--- a/tests/platform/start.tests.cpp
+++ b/tests/platform/start.tests.cpp
@@ -125,3 +125,16 @@
         CHECK(host.ask_readiness().ends_with("document: the store holds none\n"));
     }
 }
+
+// Guards against an address in use that is hidden behind a failed assertion of the clean-up.
+TEST_CASE("a host that cannot listen for peers ends with an error that names the address", "[platform][start-address]") {
+    fd_watcher sockets;
+    const raw_http_server other(sockets);
+    int assertions = 0;
+    const auto count = +[](const char*, GLogLevelFlags, const char*, gpointer counter) { ++*static_cast<int*>(counter); };
+    const auto handler = g_log_set_handler("GLib-GObject", G_LOG_LEVEL_CRITICAL, count, &assertions);
+    CHECK_THROWS_WITH(peer_links({"front-1", other.address(), "127.0.0.1:0", "amman-a"}, "a secret of the tests", [](auto) {}),
+                      Catch::StartsWith("cannot listen for peers on " + other.address() + ": "));
+    g_log_remove_handler("GLib-GObject", handler);
+    CHECK(assertions == 0);
+}
