Take limits and the usage window from the environment

review/2 to review/5 could not start: KeyError('Limits'). The settings template named fields that not every platform knows: the limits of the machine and, inside a section, the window of the usage reports.

Change: the template needs only fields that all know. The four settings come from the role's environment, which goes before the file; a variable that is empty leaves the default. host_started logs what is in force.

--- a/src/camphorstack/cli/serve_sessions.cpp
+++ b/src/camphorstack/cli/serve_sessions.cpp
@@ -68,8 +68,8 @@
 /// Reloads changed settings while the host runs: at SIGHUP, and by polling the settings file.
 class settings_watcher {
 public:
-    settings_watcher(std::string file, std::string text, session_host_task& target)
-        : path(std::move(file)), current(std::move(text)), task(target) {
+    settings_watcher(std::string file, std::string text, settings_overrides given, session_host_task& target)
+        : path(std::move(file)), current(std::move(text)), overrides(std::move(given)), task(target) {
         this->hangup = g_source_handle(g_unix_signal_add(SIGHUP, &settings_watcher::on_change, this));
         this->poll = g_source_handle(g_timeout_add(poll_interval_ms, &settings_watcher::on_change, this));
     }
@@ -90,7 +90,7 @@
             if (text == this->current) {
                 return;
             }
-            const auto settings = parse_session_settings(text, this->path).host;
+            const auto settings = parse_session_settings(text, this->path, this->overrides).host;
             this->task.on_event(settings_changed{settings.regions, settings.stop_grace, settings.entry.document_lifetime,
                                                  settings.entry.refusal_lifetime});
             std::cout << "event=settings_reloaded file=" << this->path << std::endl;
@@ -105,6 +105,7 @@
 
     std::string path;
     std::string current;
+    settings_overrides overrides;
     session_host_task& task;
     g_source_handle hangup;
     g_source_handle poll;
@@ -116,7 +117,7 @@
 }
 
 void serve(const session_settings& settings, const session_links_provider& make, const std::string& file,
-           const std::string& text) {
+           const std::string& text, const settings_overrides& overrides) {
     const suspend_aware_clock time;
     const system_wall_clock wall;
     const std::unique_ptr<GMainLoop, main_loop_deleter> loop(g_main_loop_new(nullptr, FALSE));
@@ -130,9 +131,11 @@
         [&loop]() { g_main_loop_quit(loop.get()); });
     const g_source_handle terminate(g_unix_signal_add(SIGTERM, &on_stop_signal, &task));
     const g_source_handle interrupt(g_unix_signal_add(SIGINT, &on_stop_signal, &task));
-    const settings_watcher watcher(file, text, task);
+    const settings_watcher watcher(file, text, overrides, task);
     std::cout << "event=host_started host=" << settings.host.self.id << " data_centre=" << settings.host.self.location
-              << " callers=" << settings.host.self.http_address << " nonce=" << settings.host.nonce << std::endl;
+              << " callers=" << settings.host.self.http_address << " nonce=" << settings.host.nonce
+              << " memory_limit=" << settings.callers.memory_limit << " descriptor_limit=" << settings.callers.descriptor_limit
+              << " usage_window_ms=" << settings.host.usage.window.count << std::endl;
     g_main_loop_run(loop.get());
     std::cout << "event=host_ended host=" << settings.host.self.id << std::endl;
 }
@@ -165,9 +168,10 @@
     mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
     mallopt(M_TRIM_THRESHOLD, mapped_block_bytes);
     const auto text = read_file(file);
-    auto settings = parse_session_settings(text, file);
+    const auto overrides = read_environment_settings();
+    auto settings = parse_session_settings(text, file, overrides);
     settings.host.nonce = make_nonce();
-    serve(settings, make_links, file, text);
+    serve(settings, make_links, file, text, overrides);
     return exit_ok;
 }
 
--- a/src/camphorstack/settings/parse_session_settings.cpp
+++ b/src/camphorstack/settings/parse_session_settings.cpp
@@ -86,16 +86,23 @@
     }
 }
 
-session_settings parse_session_settings(const std::string& text, const std::string& file) {
-    settings_errors errors{file, {}};
+session_settings parse_session_settings(const std::string& text, const std::string& file, const settings_overrides& overrides) {
+    std::string source = file;
+    for (const auto& [setting, value] : overrides) {
+        source += " with " + environment_name(setting) + "=" + value;
+    }
+    settings_errors errors{source, {}};
     session_settings result;
     try {
         if (g_utf8_validate(text.data(), static_cast<gssize>(text.size()), nullptr) == FALSE) {
             errors.add(1, "text is not valid UTF-8");
             errors.throw_if_any();
         }
-        const YAML::Node root = YAML::Load(text);
+        YAML::Node root = YAML::Load(text);
         if (root.IsMap()) {
+            for (const auto& [setting, value] : overrides) {
+                root[setting] = value;
+            }
             result = read_session_root(root, errors);
         } else {
             errors.add(1, "must be a mapping of settings");
--- a/src/camphorstack/settings/session_settings.hpp
+++ b/src/camphorstack/settings/session_settings.hpp
@@ -4,6 +4,7 @@
 
 #include "camphorstack/links/caller_limits.hpp"
 #include "camphorstack/session_host/session_host_settings.hpp"
+#include "camphorstack/settings/environment_settings.hpp"
 
 namespace camphorstack {
 
@@ -23,8 +24,9 @@
 /// Returns true if the text is a YAML mapping with the key `callers_address`, which only settings of session hosts have.
 [[nodiscard]] bool is_session_settings(const std::string& text);
 
-/// Reads YAML settings. `file` is the file name for error messages.
+/// Reads YAML settings. `file` is the file name for error messages. `overrides` take the place of what the text holds.
 /// Throws settings_error with all errors, such as unknown keys, wrong units and missing addresses.
-[[nodiscard]] session_settings parse_session_settings(const std::string& text, const std::string& file);
+[[nodiscard]] session_settings parse_session_settings(const std::string& text, const std::string& file,
+                                                      const settings_overrides& overrides = {});
 
 }  // namespace camphorstack
--- /dev/null
+++ b/tests/review_cases/start_hosts.py
@@ -0,0 +1,60 @@
+"""Runs a case of review/ until its hosts are ready. Exits with 1, and shows the hosts' logs, if they do not become ready.
+
+usage: start_hosts.py CASE_FILE
+"""
+
+import glob
+import os
+import runpy
+import sys
+
+
+class HostsReady(BaseException):
+    """Ends a case once its hosts are ready. Not an `Exception`, which the cases would catch."""
+
+
+def show_logs(folder):
+    for path in sorted(glob.glob(os.path.join(folder, "*.log"))):
+        with open(path, encoding="utf-8", errors="replace") as log:
+            print(f"{os.path.basename(path)}:\n{log.read()[-4000:]}")
+
+
+def stop_when_ready(owner, method, folder_of):
+    """Makes `owner.method` end the case if the hosts are ready, and show their logs if they are not."""
+    original = getattr(owner, method)
+
+    async def start(self, *arguments):
+        try:
+            result = await original(self, *arguments)
+        except Exception:
+            show_logs(folder_of(self))
+            raise
+        if result is False:
+            show_logs(folder_of(self))
+            return result
+        raise HostsReady
+
+    setattr(owner, method, start)
+
+
+def main(case):
+    review = os.path.dirname(os.path.dirname(os.path.abspath(case)))
+    sys.path[:0] = [os.path.join(review, "lab-2"), os.path.join(review, "stand_ins")]
+    import deployment
+    import lab
+
+    stop_when_ready(lab.Lab, "wait_ready", lambda self: self.folder)
+    stop_when_ready(deployment.Deployment, "start", lambda self: self.folder)
+    sys.argv = [case]
+    try:
+        runpy.run_path(case, run_name="__main__")
+    except HostsReady:
+        print("the hosts became ready")
+        return 0
+    except SystemExit as end:
+        print(f"ended with {end.code} before its hosts were ready")
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- a/tests/settings/parse_session_settings.tests.cpp
+++ b/tests/settings/parse_session_settings.tests.cpp
@@ -1,3 +1,5 @@
+#include <glib.h>
+
 #include <catch2/catch.hpp>
 
 #include "camphorstack/settings/daemon_settings.hpp"
@@ -55,6 +57,21 @@
     CHECK_FALSE(is_session_settings("{{"));
 }
 
+// Guards against a platform, or a stand-in for it, that cannot render a settings file that names fields it does not know.
+TEST_CASE("the environment gives settings that go before those of the file", "[settings][session-settings]") {
+    const settings_overrides given{{"memory_limit", "260MB"}, {"descriptor_limit", "4300"}};
+    const auto settings = parse_session_settings(complete_settings + "memory_limit: 100MB\n", "f.yaml", given);
+    CHECK(settings.callers.memory_limit == std::size_t{260} * 1024 * 1024);
+    CHECK(settings.callers.descriptor_limit == 4300);
+    CHECK_THROWS_WITH(parse_session_settings(complete_settings, "f.yaml", {{"memory_limit", "much"}}),
+                      Catch::StartsWith("f.yaml with CAMPHORSTACK_MEMORY_LIMIT=much:1: memory_limit: "));
+    g_setenv("CAMPHORSTACK_USAGE_WINDOW", "5s", TRUE);
+    g_setenv("CAMPHORSTACK_USAGE_DUE", "", TRUE);
+    CHECK(read_environment_settings() == settings_overrides{{"usage_window", "5s"}});
+    g_unsetenv("CAMPHORSTACK_USAGE_WINDOW");
+    g_unsetenv("CAMPHORSTACK_USAGE_DUE");
+}
+
 TEST_CASE("limits on callers are read, and have defaults", "[settings][session-settings]") {
     constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
     const auto defaults = parse_session_settings(complete_settings, "f.yaml");
