--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -234,8 +234,15 @@
     if (!confirms_role(state, change.step_began, now) || now < change.not_before) {
         return;
     }
-    const promotion_call call{state.next_call++, change.record.database, change.target, state.settings.self.id,
-                              state.catalog.coordinator->record.fence};
+    // A successor that has taken the role since the confirmation waits as long before its first call.
+    const auto& settings = state.coordination.settings;
+    const auto confirmed = evidence_age(state, collection::fleet, now).value_or(settings.coordinator_lease);
+    const promotion_call call{state.next_call++,
+                              change.record.database,
+                              change.target,
+                              state.settings.self.id,
+                              state.catalog.coordinator->record.fence,
+                              settings.coordinator_lease + settings.coordinator_lease_margin - confirmed};
     change.pending_call = call.id;
     change.promotion_sent = true;
     for (const auto& [id, known] : change.statuses) {
--- a/src/camphorstack/coordination/promotion_call.hpp
+++ b/src/camphorstack/coordination/promotion_call.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "camphorstack/catalog/fleet_record.hpp"
+#include "camphorstack/support/clock.hpp"
 
 namespace camphorstack {
 
@@ -13,6 +14,7 @@
     endpoint_id endpoint;
     host_id holder;          ///< The host that is the coordinator.
     fence_number fence = 0;  ///< Fence of the holder's coordinator record.
+    millis limit{0};         ///< Time limit for the answer. A successor of the holder sends no call before it has passed.
 
     friend bool operator==(const promotion_call&, const promotion_call&) = default;
 };
