Change a leader whose place another primary has taken

Cause: no reason to change a leader looked at the roles in the store.

Change: a leader is changed once the entries have shown for 3 s that it is a replica and that another endpoint is a primary.

--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -42,6 +42,9 @@
     millis coordinator_lease_margin{500};
     /// Time without an entry in the store after which a leader's endpoint counts as missing and the leader is changed.
     millis endpoint_missing_timeout{300};
+    /// Time for which another endpoint must be the primary by the entries in the store before the leader is changed; longer than
+    /// the entries take to follow a promotion.
+    millis replaced_time{3000};
     /// Wait after a store outage. Endpoint entries that expired during the outage are back after two seconds.
     millis store_settle_time{2500};
     /// Longest time for which a planned change waits for the successor's log to catch up.
@@ -177,6 +180,7 @@
     std::map<database_id, closing_report> closing_reported;  ///< Last report of a change that has not ended.
     std::map<endpoint_id, instant> missing_since;            ///< Since when leaders have no entry in the store.
     std::map<endpoint_id, instant> suspected_since;          ///< Since when leaders are suspected by a host.
+    std::map<endpoint_id, instant> replaced_since;           ///< Since when another endpoint is the primary in place of leaders.
     std::map<endpoint_id, discounted_suspicion> discounted_suspicions;  ///< Of leaders.
     std::map<endpoint_id, instant> leaders_kept_at;                     ///< When a suspected leader was last kept, by endpoint.
     std::map<database_id, term_number> newest_terms;  ///< Highest term that an endpoint of the database reported.
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -32,6 +32,14 @@
     return now - since.try_emplace(id, now).first->second >= time;
 }
 
+/// Returns true if the leader is a replica by its own entry in the store, and another endpoint of its database is a primary by its
+/// own. The platform may have carried out a promotion late that this fleet no longer waits for.
+bool is_another_primary(const session_host_state& state, const endpoint_entry& leader) {
+    return !leader.is_primary && std::ranges::any_of(state.catalog.endpoints, [&](const auto& item) {
+        return item.second.database == leader.database && item.second.is_primary;
+    });
+}
+
 std::optional<change_reason> reason_to_change(session_host_state& state, const leader_record& record, instant now) {
     auto& coordination = state.coordination;
     const auto* entry = find_endpoint_of(state, record.database, record.endpoint);
@@ -53,6 +61,10 @@
     if (state.catalog.evacuated.contains(entry->location)) {
         return change_reason{"data_centre_evacuated", true};
     }
+    const bool replaced = is_another_primary(state, *entry) && has_store_settled(state, now);
+    if (holds_for(coordination.replaced_since, record.endpoint, replaced, coordination.settings.replaced_time, now)) {
+        return change_reason{"another_primary", false};
+    }
     return std::nullopt;
 }
 
--- a/src/camphorstack/coordination/leader_suspicion.cpp
+++ b/src/camphorstack/coordination/leader_suspicion.cpp
@@ -33,6 +33,7 @@
     const auto& leader = change.record.endpoint;
     coordination.suspected_since.erase(leader);
     coordination.missing_since.erase(leader);
+    coordination.replaced_since.erase(leader);
     const auto& settings = coordination.settings;
     discounted_suspicion earlier;
     earlier.until = now + (change.kept ? settings.kept_leader_time : settings.earlier_suspicion_time);
