Give open transactions their time in each change of a leader

Open transactions of its callers ended as soon as the second change began.

Cause: closing_seen was kept by database, whatever the round.

Change: the round is kept with the time.

--- a/src/camphorstack/coordination/coordination.hpp
+++ b/src/camphorstack/coordination/coordination.hpp
@@ -100,6 +100,14 @@
     instant seen;
 };
 
+/// A change of a leader, and when this host learned of it.
+struct known_change {
+    leader_round round = 0;
+    instant seen;
+
+    friend bool operator==(const known_change&, const known_change&) = default;
+};
+
 enum class change_step : std::uint8_t {
     recording,   ///< The leader record that announces the change is being written.
     closing,     ///< Waits for the hosts to end their work on the leader, or for their leases to end.
@@ -176,7 +184,7 @@
     std::optional<std::uint64_t> claim_call;                              ///< Write of this host's `unreachable_claim` in flight.
     instant claim_not_before;
     instant last_removal;  ///< When a member was last removed that had not announced its end and might still use leaders.
-    std::map<database_id, instant> closing_seen;             ///< When this host learned of a change that has not ended.
+    std::map<database_id, known_change> closing_seen;        ///< Changes that have not ended.
     std::map<database_id, closing_report> closing_reported;  ///< Last report of a change that has not ended.
     std::map<endpoint_id, instant> missing_since;            ///< Since when leaders have no entry in the store.
     std::map<endpoint_id, instant> suspected_since;          ///< Since when leaders are suspected by a host.
--- a/src/camphorstack/coordination/leader_closing.cpp
+++ b/src/camphorstack/coordination/leader_closing.cpp
@@ -37,10 +37,14 @@
             coordination.closing_reported.erase(database);
             continue;
         }
-        const auto seen = coordination.closing_seen.try_emplace(database, now).first->second;
+        auto& change = coordination.closing_seen[database];
+        if (change.round != record.round) {
+            // The record between an earlier change and this one may have been missed.
+            change = {record.round, now};
+        }
         // The endpoint's lease and work are the other database's then.
         const bool is_lost = is_endpoint_of_other(state, database, record.endpoint);
-        if (!is_lost && record.planned && now - seen >= coordination.settings.close_limit) {
+        if (!is_lost && record.planned && now - change.seen >= coordination.settings.close_limit) {
             set_leader_lease(state.executor, record.endpoint, std::nullopt, now);
         }
         if (is_lost || is_leader_work_done(state.executor, record.endpoint)) {
--- a/tests/session_host/leader_closing.tests.cpp
+++ b/tests/session_host/leader_closing.tests.cpp
@@ -53,3 +53,21 @@
     CHECK(reported_rounds(state, instant{1300}).empty());
     CHECK(reported_rounds(state, instant{1450}) == std::vector<leader_round>{5});
 }
+
+// Guards against transactions that end as soon as a change of their leader begins, because the time since an earlier change counts.
+TEST_CASE("open transactions have their time in each change of the leader", "[leader-closing]") {
+    auto state = make_host();
+    const auto has_lease = [&](instant now) {
+        closing_tick(state, now);
+        return state.executor.endpoints["db-0"].lease.has_value();
+    };
+    begin_change(state, 3, 1, instant{1000});
+    closing_tick(state, instant{1000});
+    // The host has missed the record of round 4.
+    begin_change(state, 5, 2, instant{5000});
+    state.executor.endpoints["db-0"].lease = leader_lease{};
+    CHECK(has_lease(instant{5000}));
+    const auto limit = state.coordination.settings.close_limit;
+    CHECK(has_lease(instant{5000} + limit - millis{1}));
+    CHECK_FALSE(has_lease(instant{5000} + limit));
+}
