Forget observations of leaders with the coordinator role

Cause: the times since when leaders are suspected, missing or replaced survived the loss of the role.

Change: they are cleared when the role changes.

--- a/src/camphorstack/coordination/coordinator_role.cpp
+++ b/src/camphorstack/coordination/coordinator_role.cpp
@@ -194,6 +194,10 @@
         coordination.changes.clear();
         coordination.status_requests.clear();
         coordination.members_call.reset();
+        // Nothing was observed while another host was the coordinator.
+        coordination.suspected_since.clear();
+        coordination.missing_since.clear();
+        coordination.replaced_since.clear();
         coordination.next_members = now + coordination.settings.initial_report_wait;
         set_watch_settings(state, holds ? state.settings.coordinator_watches : state.settings.watches, now);
         log_decision(state, holds ? "duty_taken" : "duty_lost", "host=" + state.settings.self.id);
