Let callers take the last answers of a stopping host

Cause: a finished connection was closed a second after finish() was called, however much was unsent, and the process ended 500 ms after the host had stopped.

Change: the second counts from the last byte sent, with 10 s for the output itself, and the process waits for output that callers are still taking until shortly before its grace period ends.

--- a/src/camphorstack/links/line_socket.cpp
+++ b/src/camphorstack/links/line_socket.cpp
@@ -18,7 +18,9 @@
 constexpr std::size_t read_chunk_bytes = 16384;
 /// Limit of chunks read from one socket before other sockets are served.
 constexpr int chunks_per_turn = 4;
-/// Time limit in milliseconds for the remote side to close its half of a finished connection.
+/// Time limit in milliseconds for the remote side to take the output of a finished connection.
+constexpr guint last_output_limit_ms = 10000;
+/// Time limit in milliseconds for the remote side to close its half of a finished connection, once all output has been sent.
 constexpr guint linger_ms = 1000;
 /// TCP keepalive probes start after this many idle seconds, so that a lost remote side is detected on an idle connection too.
 constexpr int keepalive_idle_s = 5;
@@ -199,15 +201,26 @@
     if (this->current == phase::finishing && !this->is_half_closed) {
         this->is_half_closed = true;
         g_socket_shutdown(this->socket.get(), FALSE, TRUE, nullptr);
+        this->close_after(linger_ms);
     }
 }
 
+void line_socket::close_after(guint delay_ms) {
+    const auto on_end = +[](gpointer self) -> gboolean {
+        auto* const finished = static_cast<line_socket*>(self);
+        finished->end_timer.release();
+        finished->close();
+        return G_SOURCE_REMOVE;
+    };
+    this->end_timer = g_source_handle(g_timeout_add(delay_ms, on_end, this));
+}
+
 void line_socket::close() {
     if (this->current == phase::closed) {
         return;
     }
     this->current = phase::closed;
-    this->linger_timer.reset();
+    this->end_timer.reset();
     this->watcher.remove(g_socket_get_fd(this->socket.get()));
     g_socket_close(this->socket.get(), nullptr);
     this->release_buffers();
@@ -224,13 +237,7 @@
         this->is_reading_stopped = false;
         this->watcher.watch_readable(g_socket_get_fd(this->socket.get()), true);
     }
-    const auto on_linger = +[](gpointer self) -> gboolean {
-        auto* const finished = static_cast<line_socket*>(self);
-        finished->linger_timer.release();
-        finished->close();
-        return G_SOURCE_REMOVE;
-    };
-    this->linger_timer = g_source_handle(g_timeout_add(linger_ms, on_linger, this));
+    this->close_after(last_output_limit_ms);
     this->flush();
 }
 
--- a/src/camphorstack/links/line_socket.hpp
+++ b/src/camphorstack/links/line_socket.hpp
@@ -71,7 +71,8 @@
     /// Closes the connection at once. No callback follows. Allowed inside a callback, unlike destroying the object.
     void close();
     /// Sends what is buffered, shuts down the sending half and closes the connection once the remote side has closed its half.
-    /// Closing at once with unread input would reset the connection before the last answer has arrived. No callback follows.
+    /// Closing at once with unread input would reset the connection before the last answer has arrived. The remote side has 10 s
+    /// to take the output, and 1 s from then on to close its half. No callback follows.
     void finish();
 
     /// Returns true if the socket does not read on because the account has no room.
@@ -101,6 +102,7 @@
     void read_available();
     void deliver_lines();
     void flush();
+    void close_after(guint delay_ms);
     [[nodiscard]] bool may_read();
     void stop_reading();
     void release_buffers();
@@ -126,7 +128,7 @@
     bool is_waiting_for_room = false;
     bool is_delivering = false;
     bool is_half_closed = false;
-    g_source_handle linger_timer;
+    g_source_handle end_timer;  ///< Ends a finished connection.
 };
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host_task.cpp
+++ b/src/camphorstack/session_host/session_host_task.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "camphorstack/session_host/shutdown.hpp"
+
 namespace camphorstack {
 
 namespace {
 
 constexpr guint drain_check_interval_ms = 20;
-/// Time limit for writing the last answers, so that a caller that does not read cannot delay the end of the process.
+/// Time limit for callers to close their connections once they have their last answers.
 constexpr millis drain_timeout{500};
 
 /// Readings only need to be recent when hosts compare their clocks.
@@ -96,9 +98,13 @@
         return;
     }
     this->drain_deadline = this->source_of_time.now() + drain_timeout;
+    this->answer_deadline = std::max(this->drain_deadline, last_answer_deadline(*this->host));
     const auto on_check = +[](gpointer self) -> gboolean {
         auto* const task = static_cast<session_host_task*>(self);
-        if (!task->links->is_drained() && task->source_of_time.now() < task->drain_deadline) {
+        const auto now = task->source_of_time.now();
+        const bool waits_for_close = !task->links->is_drained() && now < task->drain_deadline;
+        const bool waits_for_answers = task->links->has_untaken_answers() && now < task->answer_deadline;
+        if (waits_for_close || waits_for_answers) {
             return G_SOURCE_CONTINUE;
         }
         task->drain_check.release();
--- a/src/camphorstack/session_host/session_host_task.hpp
+++ b/src/camphorstack/session_host/session_host_task.hpp
@@ -46,7 +46,8 @@
     std::unique_ptr<session_links> links;
     g_source_handle ticker;
     g_source_handle drain_check;
-    instant drain_deadline;
+    instant drain_deadline;   ///< The process ends then at the latest, unless answers are still being taken.
+    instant answer_deadline;  ///< The process ends then at the latest.
 };
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_links.hpp
+++ b/src/camphorstack/session_host/session_links.hpp
@@ -31,8 +31,10 @@
 
     /// Carries out one action.
     virtual void carry_out(const session_host_action& action) = 0;
-    /// Returns true if every answer to a caller has been written.
+    /// Returns true if all connections of callers that were to be closed are closed.
     [[nodiscard]] virtual bool is_drained() const = 0;
+    /// Returns true if a caller whose connection is being closed has not taken all of its answers.
+    [[nodiscard]] virtual bool has_untaken_answers() const = 0;
 };
 
 /// Creates the links of a session host. The links pass their events to the sink.
--- a/src/camphorstack/session_host/shutdown.cpp
+++ b/src/camphorstack/session_host/shutdown.cpp
@@ -108,6 +108,10 @@
     return !state.stopped && (in_transaction_grace || spent + time_limit <= service_time(state.settings));
 }
 
+instant last_answer_deadline(const session_host_state& state) {
+    return state.stop_requested_at + service_time(state.settings);
+}
+
 void receive_run_request(session_host_state& state, const host_id& origin, const run_request& request, instant now) {
     if (can_answer_before_end(state, request.queue_timeout + request.statement_timeout, now)) {
         if (!receive_position_request(state, origin, request, now)) {
--- a/src/camphorstack/session_host/shutdown.hpp
+++ b/src/camphorstack/session_host/shutdown.hpp
@@ -29,6 +29,9 @@
 /// Returns true unless the host is shutting down and may end before a statement with this time limit is answered.
 [[nodiscard]] bool can_answer_before_end(const session_host_state& state, millis time_limit, instant now);
 
+/// Returns until when callers may take the last answers of a host that is shutting down: shortly before its grace period ends.
+[[nodiscard]] instant last_answer_deadline(const session_host_state& state);
+
 /// Handles a run that another host has requested. Refuses it if this host may end before the run does.
 void receive_run_request(session_host_state& state, const host_id& origin, const run_request& request, instant now);
 
