--- a/tests/platform/repeated_answers.tests.cpp
+++ b/tests/platform/repeated_answers.tests.cpp
@@ -13,7 +13,9 @@
 
 void open_session(raw_client& caller) {
     caller.send("START books first-key\r\n");
-    REQUIRE(caller.wait_for("READY I -\r\n"));
+    const bool is_open = caller.wait_for("READY I -\r\n");
+    INFO("received: " << caller.received);
+    REQUIRE(is_open);
 }
 
 std::string ask(raw_client& caller, const std::string& query) {
