Look for missing fleet records once a second, and format

readiness_tick went over all endpoints at each tick to find databases without a leader: 20 to 50 times a second, at the target size over 8,400 endpoints. It does so once a second now; the reports come as before.

--- a/src/camphorstack/catalog/catalog.hpp
+++ b/src/camphorstack/catalog/catalog.hpp
@@ -116,7 +116,7 @@
     std::vector<std::string> removed;  ///< Watch: names of removed objects.
     bool more = false;                 ///< List: the list continues after the last item.
     store_revision revision = 0;       ///< Revision of the store.
-    std::string problem;  ///< Why the answer could not be read, or which objects it lacks therefore; empty otherwise.
+    std::string problem;       ///< Why the answer could not be read, or which objects it lacks therefore; empty otherwise.
     std::string failure = {};  ///< What the call failed of, such as "Connection refused" or "HTTP status 503"; empty if unknown.
 
     friend bool operator==(const catalog_answer&, const catalog_answer&) = default;
--- a/src/camphorstack/catalog/collection_watch.cpp
+++ b/src/camphorstack/catalog/collection_watch.cpp
@@ -22,9 +22,9 @@
     return watch.evidence && now - *watch.evidence < watch.settings.fresh_evidence_age;
 }
 
-/// Returns the time limit of the next list. A store that answers slowly must not keep a host from ever getting a list, so the limit
-/// is extended for every second list in a row that got no answer in time. The lists in between, and those of other collections,
-/// keep the usual limit, because after an outage they find out sooner that the store answers again.
+/// Returns the time limit of the next list. A store that answers slowly must not keep a host from ever getting a list, so the
+/// limit is extended for every second list in a row that got no answer in time. The lists in between, and those of other
+/// collections, keep the usual limit, because after an outage they find out sooner that the store answers again.
 millis list_time_limit(const collection_watch& watch, instant now) {
     const auto turn = watch.expired_lists + static_cast<int>(watch.collection_id);
     if (has_fresh_evidence(watch, now) || turn % 2 == 0) {
--- a/src/camphorstack/catalog/collection_watch.hpp
+++ b/src/camphorstack/catalog/collection_watch.hpp
@@ -113,8 +113,8 @@
     std::optional<relayed_changes> decoding;           ///< Changes that another host has sent.
 };
 
-/// Makes a delayed retry due now. Called when the store has answered a call for another collection, which took `answer_time`. Gives
-/// up a list that has had so much time in addition to the usual limit, as the store answers faster than that now.
+/// Makes a delayed retry due now. Called when the store has answered a call for another collection, which took `answer_time`.
+/// Gives up a list that has had so much time in addition to the usual limit, as the store answers faster than that now.
 void retry_now(collection_watch& watch, millis answer_time, instant now);
 
 /// Returns the time since a pending call was sent; 0 if it is not a list or a watch of this collection.
--- a/src/camphorstack/cli/serve_sessions.cpp
+++ b/src/camphorstack/cli/serve_sessions.cpp
@@ -116,8 +116,8 @@
     return G_SOURCE_CONTINUE;
 }
 
-void serve(const session_settings& settings, const session_links_provider& make, const std::string& file,
-           const std::string& text, const settings_overrides& overrides) {
+void serve(const session_settings& settings, const session_links_provider& make, const std::string& file, const std::string& text,
+           const settings_overrides& overrides) {
     const suspend_aware_clock time;
     const system_wall_clock wall;
     const std::unique_ptr<GMainLoop, main_loop_deleter> loop(g_main_loop_new(nullptr, FALSE));
--- a/src/camphorstack/coordination/leader_changes.cpp
+++ b/src/camphorstack/coordination/leader_changes.cpp
@@ -32,8 +32,8 @@
     return now - since.try_emplace(id, now).first->second >= time;
 }
 
-/// Returns true if the leader is a replica by its own entry in the store, and another endpoint of its database is a primary by its
-/// own. The platform may have carried out a promotion late that this fleet no longer waits for.
+/// Returns true if the leader is a replica by its own entry in the store, and another endpoint of its database is a primary by
+/// its own. The platform may have carried out a promotion late that this fleet no longer waits for.
 bool is_another_primary(const session_host_state& state, const endpoint_entry& leader) {
     return !leader.is_primary && std::ranges::any_of(state.catalog.endpoints, [&](const auto& item) {
         return item.second.database == leader.database && item.second.is_primary;
--- a/src/camphorstack/session_host/readiness.cpp
+++ b/src/camphorstack/session_host/readiness.cpp
@@ -13,6 +13,8 @@
 
 constexpr millis first_report_delay{1000};
 constexpr millis max_report_interval{60000};
+/// Missing records are looked for at this interval, as it takes a pass over all endpoints.
+constexpr millis record_check_interval{1000};
 
 std::string join(const std::vector<std::string>& reasons) {
     std::string text;
@@ -40,8 +42,8 @@
 
 std::string describe_old_document(const session_host_state& state, instant now) {
     const auto age = evidence_age(state, collection::document, now);
-    return "document: last confirmed by the store " + std::to_string(age.value_or(millis{0}).count) + " ms ago, last call: " +
-           describe_last_call(watch_of(state, collection::document));
+    return "document: last confirmed by the store " + std::to_string(age.value_or(millis{0}).count) +
+           " ms ago, last call: " + describe_last_call(watch_of(state, collection::document));
 }
 
 /// Returns true if a report is due, and schedules the next one.
@@ -63,8 +65,7 @@
         report.since.reset();
     } else if (is_report_due(report, now)) {
         log_decision(state, kind,
-                     "waited_ms=" + std::to_string((now - *report.since).count) + " reasons=" + log_quoted(join(reasons)),
-                     true);
+                     "waited_ms=" + std::to_string((now - *report.since).count) + " reasons=" + log_quoted(join(reasons)), true);
     }
 }
 
@@ -133,7 +134,10 @@
     if (waited && reasons.empty()) {
         log_decision(state, "ready", "waited_ms=" + std::to_string((now - *waited).count));
     }
-    report_wait(state, state.coordination_wait, "coordinator_wait", missing_fleet_records(state), now);
+    if (now >= state.next_record_check) {
+        state.next_record_check = now + record_check_interval;
+        report_wait(state, state.coordination_wait, "coordinator_wait", missing_fleet_records(state), now);
+    }
 }
 
 }  // namespace camphorstack
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -129,6 +129,7 @@
     std::map<std::string, std::string> logged_problems;  ///< Last logged problem of each object, by collection and name.
     wait_report readiness_wait;
     wait_report coordination_wait;
+    instant next_record_check;  ///< The records of the fleet are not checked for missing ones earlier.
     bool serving = false;
     bool stopping = false;
     bool stopped = false;
--- a/tests/platform/start.tests.cpp
+++ b/tests/platform/start.tests.cpp
@@ -50,9 +50,8 @@
     }
 
     bool has_logged(const std::string& kind, const std::string& text) const {
-        return std::ranges::any_of(this->log, [&](const decision_line& line) {
-            return line.kind == kind && line.text.find(text) != std::string::npos;
-        });
+        return std::ranges::any_of(
+            this->log, [&](const decision_line& line) { return line.kind == kind && line.text.find(text) != std::string::npos; });
     }
 
     /// Returns the response of the readiness page.
@@ -96,10 +95,9 @@
                       "Connection terminated unexpectedly");
     }
     SECTION("the store answers with an error") {
-        check_reports(starting_host([](auto& store, const auto& request) {
-                          store.send(request.connection, raw_response(503, "{}"));
-                      }),
-                      "HTTP status 503");
+        check_reports(
+            starting_host([](auto& store, const auto& request) { store.send(request.connection, raw_response(503, "{}")); }),
+            "HTTP status 503");
     }
     SECTION("the store answers with something else") {
         check_reports(starting_host([](auto& store, const auto& request) {
--- a/tests/session_host/coordinator_role.tests.cpp
+++ b/tests/session_host/coordinator_role.tests.cpp
@@ -20,7 +20,8 @@
     coordinator_role_tick(state, instant{1000});
     REQUIRE(state.coordination.is_coordinator);
     auto& coordination = state.coordination;
-    coordination.suspected_since["db-0"] = coordination.missing_since["db-0"] = coordination.replaced_since["db-0"] = instant{1100};
+    coordination.suspected_since["db-0"] = coordination.missing_since["db-0"] = coordination.replaced_since["db-0"] =
+        instant{1100};
     set_coordinator("host-1", 2);
     coordinator_role_tick(state, instant{1200});
     REQUIRE_FALSE(coordination.is_coordinator);
--- a/tests/session_host/leader_closing.tests.cpp
+++ b/tests/session_host/leader_closing.tests.cpp
@@ -54,7 +54,8 @@
     CHECK(reported_rounds(state, instant{1450}) == std::vector<leader_round>{5});
 }
 
-// Guards against transactions that end as soon as a change of their leader begins, because the time since an earlier change counts.
+// Guards against transactions that end as soon as a change of their leader begins, because the time since an earlier change
+// counts.
 TEST_CASE("open transactions have their time in each change of the leader", "[leader-closing]") {
     auto state = make_host();
     const auto has_lease = [&](instant now) {
