Give the cases' hosts ports that nobody else gets

Cause: the cases' free_ports binds port 0, closes the sockets and returns the numbers. The next call, or the listener of a stand-in, can get one of them again; the host that comes second then ends, with the right error.

Change: start_hosts.py replaces free_ports while it runs a case: ports come from below the range that the system takes ports from, each once. The check is as strict as before: every host must become ready, in the same time. The product is not changed: an address that stays in use is an error of the settings.

--- a/tests/review_cases/start_hosts.py
+++ b/tests/review_cases/start_hosts.py
@@ -4,8 +4,11 @@
 """
 
 import glob
+import itertools
 import os
+import random
 import runpy
+import socket
 import sys
 
 
@@ -13,6 +16,32 @@
     """Ends a case once its hosts are ready. Not an `Exception`, which the cases would catch."""
 
 
+def unused_ports():
+    """Yields loopback ports, each once, from below the range from which the system takes ports by itself.
+
+    The cases' own `free_ports` closes the sockets that it got its ports from, so a later call, a stand-in or an outgoing
+    connection can get one of them again; the host that was given the port then ends with "Address already in use".
+    """
+    with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as text:
+        first_of_system = int(text.read().split()[0])
+    ports = list(range(max(1024, first_of_system - 8192), first_of_system))
+    random.shuffle(ports)
+    for port in ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        yield port
+
+
+def give_unused_ports(*modules):
+    """Replaces `free_ports(count)` of the modules."""
+    ports = unused_ports()
+    for module in modules:
+        module.free_ports = lambda count: list(itertools.islice(ports, count))
+
+
 def show_logs(folder):
     for path in sorted(glob.glob(os.path.join(folder, "*.log"))):
         with open(path, encoding="utf-8", errors="replace") as log:
@@ -43,6 +72,7 @@
     import deployment
     import lab
 
+    give_unused_ports(lab, deployment)
     stop_when_ready(lab.Lab, "wait_ready", lambda self: self.folder)
     stop_when_ready(deployment.Deployment, "start", lambda self: self.folder)
     sys.argv = [case]
