Open the module by its path from the working directory

Cause: the executable opened the module by its absolute path.

Change: a module below the working directory is opened by the relative path, any other by the absolute one.

--- a/src/camphorstack/main.cpp
+++ b/src/camphorstack/main.cpp
@@ -10,21 +10,25 @@
 
 namespace {
 
-constexpr const char module_name[] = "libcamphorstack.so";
+constexpr const char* module_name = "libcamphorstack.so";
 
-/// Writes the path of the module beside this executable. Returns false if the path is not known or is too long.
-bool find_module(char (&path)[PATH_MAX]) {
-    const ssize_t length = readlink("/proc/self/exe", path, sizeof path - 1);
-    if (length <= 0) {
-        return false;
+/// Loads the module from the folder of this executable. Returns null, with the reason in dlerror, if it cannot be loaded.
+void* load_module() {
+    char folder[PATH_MAX] = "";
+    if (readlink("/proc/self/exe", folder, sizeof folder - 1) > 0) {
+        *std::strrchr(folder, '/') = '\0';
     }
-    path[length] = '\0';
-    char* const name = std::strrchr(path, '/') + 1;
-    if (name + sizeof module_name > path + sizeof path) {
-        return false;
+    // A process may be able to read its working directory, but not the folders above it.
+    char working[PATH_MAX] = "";
+    const auto length = getcwd(working, sizeof working) == nullptr ? 0 : std::strlen(working);
+    char path[PATH_MAX + 64] = "";
+    if (length > 0 && std::strncmp(folder, working, length) == 0 && (folder[length] == '/' || folder[length] == '\0')) {
+        std::snprintf(path, sizeof path, ".%s/%s", folder + length, module_name);
     }
-    std::strcpy(name, module_name);
-    return true;
+    if (access(path, R_OK) != 0) {
+        std::snprintf(path, sizeof path, "%s/%s", folder, module_name);
+    }
+    return dlopen(path, RTLD_NOW | RTLD_GLOBAL);
 }
 
 }  // namespace
@@ -36,12 +40,7 @@
         // It announces changed settings, which are read later in any case.
         std::signal(SIGHUP, SIG_IGN);
     }
-    char path[PATH_MAX];
-    if (!find_module(path)) {
-        std::fprintf(stderr, "camphorstack: cannot find %s: the path of the executable is not known\n", module_name);
-        return camphorstack::exit_usage;
-    }
-    void* const program = dlopen(path, RTLD_NOW | RTLD_GLOBAL);
+    void* const program = load_module();
     void* const entry = program == nullptr ? nullptr : dlsym(program, "run_camphorstack");
     if (entry == nullptr) {
         std::fprintf(stderr, "camphorstack: cannot load the program: %s\n", dlerror());
