Wait for the first member list in the tests of the whole path

What was seen: while tracing the failure of "an answer that an instance sends twice ..." its process was stopped and continued at random (trial, release build): stops of 0.1 s on average failed 1 of 15 runs, of 0.3 s 9 of 15, of 0.8 s 15 of 15. All answers were "ERROR BUSY the workspace's rate and burst are used up".

Cause: the host gets its tokens with the first member list, for which the fixture waited a fixed 700 ms.

Change: the fixture waits for the list and then for the same 700 ms. No check is narrowed.

The recorded failure is another one (START got no READY in 5 s). Stops of 2.5 s on average showed it twice in 6 runs: "ERROR BUSY this host cannot prove that its document is recent", right after 4.9 s.

--- a/tests/platform/platform_fixture.hpp
+++ b/tests/platform/platform_fixture.hpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "camphorstack/session_host/session_host_task.hpp"
 #include "links/run_main_loop.hpp"
@@ -30,6 +31,7 @@
     }
 
     void start() {
+        this->has_members = false;
         const auto make_links = [this](const session_event_sink& sink, monitoring_callbacks callbacks) {
             this->monitoring = callbacks;
             auto opened = std::make_unique<platform::platform_links>(this->settings, sink, std::move(callbacks));
@@ -38,9 +40,13 @@
         };
         this->task = std::make_unique<session_host_task>(
             make_session_host(this->settings.host, random_source(1), this->time.now()), make_links, this->time, this->wall,
-            [](const decision_line&) {}, [this] { this->stopped = true; });
+            [this](const decision_line& line) {
+                this->has_members = this->has_members || std::string_view(line.kind) == "share_members_changed";
+            },
+            [this] { this->stopped = true; });
         REQUIRE(tests::run_until([this] { return this->monitoring.is_ready(); }));
-        // The host gets its tokens with the first member list.
+        // The host gets its tokens with the first member list, which can be late if the test is held up.
+        REQUIRE(tests::run_until([this] { return this->has_members; }));
         tests::run_for(millis{700});
     }
 
@@ -88,6 +94,7 @@
     monitoring_callbacks monitoring;
     std::string callers;
     bool stopped = false;
+    bool has_members = false;  ///< Since the last start.
     std::unique_ptr<session_host_task> task;
 };
 
