Name the database in a run that another host carries out

What callers could see: a read, or a write if the rounds are the same, that runs at an endpoint which has just become another database's, sent by a host whose entry of the endpoint is outdated.

Cause: a run between hosts named the endpoint and the round, but no database.

Change: the run names its database (a new last field of RunRequest). The host with the endpoint's connections refuses it as not run if the endpoint's entry names another one, and the session tries again elsewhere; so do requests for positions. Runs of earlier versions name none and are not checked.

Evidence: "a run does not run at another database's endpoint" fails without the check (reads, writes and status requests are sent) and passes with it. In the simulated fleet each run between hosts must name a database. Not shown from end to end: a fleet test with a delayed host was tried, in which the statement did not reach the endpoint with or without the check.

--- a/src/camphorstack/coordination/endpoint_requests.cpp
+++ b/src/camphorstack/coordination/endpoint_requests.cpp
@@ -21,7 +21,8 @@
     if (is_endpoint_of_other(state, change.record.database, endpoint)) {
         return;
     }
-    auto request = make_administrative_run(state, endpoint, run_kind::status, state.coordination.settings.status_timeout);
+    auto request = make_administrative_run(state, change.record.database, endpoint, run_kind::status,
+                                           state.coordination.settings.status_timeout);
     if (!request) {
         return;
     }
@@ -48,7 +49,8 @@
         return;
     }
     for (const auto& former : change.former_primaries) {
-        auto request = make_administrative_run(state, former, run_kind::demote, state.coordination.settings.status_timeout);
+        auto request = make_administrative_run(state, change.record.database, former, run_kind::demote,
+                                               state.coordination.settings.status_timeout);
         if (!request) {
             return;
         }
--- a/src/camphorstack/executors/executor.cpp
+++ b/src/camphorstack/executors/executor.cpp
@@ -515,6 +515,11 @@
                    "this host does not use the endpoint");
         return;
     }
+    if (!run.request.database.empty() && run.request.database != endpoint->entry.database) {
+        // The result must not carry positions of the endpoint's database.
+        refuse_run(state, endpoint_executor(), run, result_code::busy, "the endpoint belongs to another database");
+        return;
+    }
     if (!is_run_allowed(*endpoint, run.request, now)) {
         refuse_run(state, *endpoint, run, result_code::busy, no_lease_reason);
         return;
--- a/src/camphorstack/executors/run.hpp
+++ b/src/camphorstack/executors/run.hpp
@@ -40,6 +40,7 @@
 struct run_request {
     run_id id = 0;
     endpoint_id endpoint;
+    database_id database;    ///< The endpoint must belong to it. Empty in runs of earlier versions, which do not name it.
     workspace_id workspace;  ///< Empty for a session without a key.
     run_kind kind = run_kind::read;
     std::string statement_id;                ///< Chosen by the caller.
--- a/src/camphorstack/links/peer_codec.cpp
+++ b/src/camphorstack/links/peer_codec.cpp
@@ -166,6 +166,7 @@
 
     encoded_body operator()(const run_request& body) const {
         const auto endpoint = this->out.CreateString(body.endpoint);
+        const auto database = this->out.CreateString(body.database);
         const auto workspace = this->out.CreateString(body.workspace);
         const auto statement_id = this->out.CreateString(body.statement_id);
         const auto text = this->out.CreateString(body.text);
@@ -200,6 +201,7 @@
         table.add_priority(body.priority);
         table.add_accepts_known_position(body.accepts_known_position);
         table.add_start_target_ms(body.start_target.count);
+        table.add_database(database);
         return {wire::Body::RunRequest, table.Finish().Union()};
     }
 
--- a/src/camphorstack/links/peer_frame_reader.cpp
+++ b/src/camphorstack/links/peer_frame_reader.cpp
@@ -186,6 +186,7 @@
     request.priority = table.priority();
     request.accepts_known_position = table.accepts_known_position();
     request.start_target = millis{check_not_negative(table.start_target_ms())};
+    request.database = this->text(table.database());
     return request;
 }
 
--- a/src/camphorstack/schemas/peer_generated.h
+++ b/src/camphorstack/schemas/peer_generated.h
@@ -1835,7 +1835,8 @@
     VT_PATIENCE_MS = 38,
     VT_PRIORITY = 40,
     VT_ACCEPTS_KNOWN_POSITION = 42,
-    VT_START_TARGET_MS = 44
+    VT_START_TARGET_MS = 44,
+    VT_DATABASE = 46
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1900,6 +1901,9 @@
   int64_t start_target_ms() const {
     return GetField<int64_t>(VT_START_TARGET_MS, 0);
   }
+  const flatbuffers::String *database() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATABASE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1930,6 +1934,8 @@
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTS_KNOWN_POSITION, 1) &&
            VerifyField<int64_t>(verifier, VT_START_TARGET_MS, 8) &&
+           VerifyOffset(verifier, VT_DATABASE) &&
+           verifier.VerifyString(database()) &&
            verifier.EndTable();
   }
 };
@@ -2001,6 +2007,9 @@
   void add_start_target_ms(int64_t start_target_ms) {
     fbb_.AddElement<int64_t>(RunRequest::VT_START_TARGET_MS, start_target_ms, 0);
   }
+  void add_database(flatbuffers::Offset<flatbuffers::String> database) {
+    fbb_.AddOffset(RunRequest::VT_DATABASE, database);
+  }
   explicit RunRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2034,7 +2043,8 @@
     int64_t patience_ms = 0,
     int32_t priority = 0,
     bool accepts_known_position = false,
-    int64_t start_target_ms = 0) {
+    int64_t start_target_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> database = 0) {
   RunRequestBuilder builder_(_fbb);
   builder_.add_start_target_ms(start_target_ms);
   builder_.add_patience_ms(patience_ms);
@@ -2044,6 +2054,7 @@
   builder_.add_after_index(after_index);
   builder_.add_after_term(after_term);
   builder_.add_id(id);
+  builder_.add_database(database);
   builder_.add_priority(priority);
   builder_.add_values(values);
   builder_.add_prepared_shape(prepared_shape);
@@ -2087,13 +2098,15 @@
     int64_t patience_ms = 0,
     int32_t priority = 0,
     bool accepts_known_position = false,
-    int64_t start_target_ms = 0) {
+    int64_t start_target_ms = 0,
+    const char *database = nullptr) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   auto statement_id__ = statement_id ? _fbb.CreateString(statement_id) : 0;
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto prepared_shape__ = prepared_shape ? _fbb.CreateString(prepared_shape) : 0;
   auto values__ = values ? _fbb.CreateVector<flatbuffers::Offset<camphorstack::wire::SessionValue>>(*values) : 0;
+  auto database__ = database ? _fbb.CreateString(database) : 0;
   return camphorstack::wire::CreateRunRequest(
       _fbb,
       id,
@@ -2116,7 +2129,8 @@
       patience_ms,
       priority,
       accepts_known_position,
-      start_target_ms);
+      start_target_ms,
+      database__);
 }
 
 struct RunResult FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/camphorstack/session_host/operations.cpp
+++ b/src/camphorstack/session_host/operations.cpp
@@ -156,6 +156,7 @@
     run_request request;
     request.id = operation.run;
     request.endpoint = target.endpoint;
+    request.database = operation.access.database;
     request.workspace = operation.access.workspace;
     request.kind = operation.kind;
     request.statement_id = operation.requested.id;
--- a/src/camphorstack/session_host/position_requests.cpp
+++ b/src/camphorstack/session_host/position_requests.cpp
@@ -58,7 +58,7 @@
     if (!target) {
         return;
     }
-    auto request = make_administrative_run(state, target->endpoint, run_kind::status, position_request_timeout);
+    auto request = make_administrative_run(state, database, target->endpoint, run_kind::status, position_request_timeout);
     if (!request) {
         return;
     }
@@ -172,7 +172,9 @@
         return false;
     }
     const auto found = state.catalog.endpoints.find(request.endpoint);
-    if (found == state.catalog.endpoints.end()) {
+    const bool is_known =
+        found != state.catalog.endpoints.end() && (request.database.empty() || request.database == found->second.database);
+    if (!is_known) {
         return false;
     }
     const kept_position_request kept{origin, request.id, found->second.database, request.round, now};
--- a/src/camphorstack/session_host/session_host_state.cpp
+++ b/src/camphorstack/session_host/session_host_state.cpp
@@ -120,8 +120,8 @@
     }
 }
 
-std::optional<run_request> make_administrative_run(session_host_state& state, const endpoint_id& endpoint, run_kind kind,
-                                                   millis timeout) {
+std::optional<run_request> make_administrative_run(session_host_state& state, const database_id& database,
+                                                   const endpoint_id& endpoint, run_kind kind, millis timeout) {
     const auto& workspaces = state.catalog.content->workspaces;
     if (workspaces.empty()) {
         return std::nullopt;
@@ -129,6 +129,7 @@
     run_request request;
     request.id = state.next_call++;
     request.endpoint = endpoint;
+    request.database = database;
     request.workspace = workspaces.front().id;
     request.kind = kind;
     request.statement_timeout = timeout;
--- a/src/camphorstack/session_host/session_host_state.hpp
+++ b/src/camphorstack/session_host/session_host_state.hpp
@@ -187,8 +187,8 @@
 
 /// Returns a run that carries no statement of a caller. Returns nothing without a document that names a workspace, as connections
 /// to endpoints belong to one.
-[[nodiscard]] std::optional<run_request> make_administrative_run(session_host_state& state, const endpoint_id& endpoint,
-                                                                 run_kind kind, millis timeout);
+[[nodiscard]] std::optional<run_request> make_administrative_run(session_host_state& state, const database_id& database,
+                                                                 const endpoint_id& endpoint, run_kind kind, millis timeout);
 
 /// Returns the endpoint's owner, or its substitute if this host cannot reach the owner.
 [[nodiscard]] host_id executor_host(const session_host_state& state, const endpoint_id& endpoint);
--- a/tests/executors/executor.tests.cpp
+++ b/tests/executors/executor.tests.cpp
@@ -621,3 +621,29 @@
         CHECK(begin(5) != first);
     }
 }
+
+// Guards against a host with an outdated list that reads or writes at an endpoint which has become another database's.
+TEST_CASE("a run does not run at another database's endpoint", "[executor][moved-endpoints]") {
+    executor_fixture fixture;
+    fixture.grant_lease(3, millis{5000});
+    auto run = fixture.request(GENERATE(run_kind::read, run_kind::write, run_kind::status));
+    run.round = 3;
+    SECTION("it names another database") {
+        run.database = "former";
+        submit_run(fixture.state, "host", run, fixture.now);
+        CHECK(fixture.open_connections().empty());
+        const auto refused = fixture.result();
+        CHECK(refused.outcome == run_outcome::not_run);
+        CHECK(refused.code == result_code::busy);
+        CHECK_FALSE(refused.position);
+    }
+    SECTION("it names the endpoint's database") {
+        run.database = "db";
+        submit_run(fixture.state, "host", run, fixture.now);
+        CHECK(fixture.open_connections().size() == 1);
+    }
+    SECTION("its host's version names no database") {
+        submit_run(fixture.state, "host", run, fixture.now);
+        CHECK(fixture.open_connections().size() == 1);
+    }
+}
--- a/tests/links/peer_codec.tests.cpp
+++ b/tests/links/peer_codec.tests.cpp
@@ -33,6 +33,7 @@
         loan_grant{1, "ws", 6, 0, 2500, millis{500}},
         run_request{7,
                     "i-1",
+                    "db",
                     "ws",
                     run_kind::write,
                     "5c0e",
@@ -98,8 +99,8 @@
         run_request request;
         request.id = 7;
         std::vector<peer_body> bodies;
-        for (std::string run_request::*field :
-             {&run_request::endpoint, &run_request::workspace, &run_request::statement_id, &run_request::text}) {
+        for (std::string run_request::*field : {&run_request::endpoint, &run_request::database, &run_request::workspace,
+                                                &run_request::statement_id, &run_request::text}) {
             auto changed = request;
             changed.*field = text;
             bodies.emplace_back(changed);
--- a/tests/session_fleet/session_fleet.cpp
+++ b/tests/session_fleet/session_fleet.cpp
@@ -544,6 +544,10 @@
 }
 
 void session_fleet::carry_out(const host_id& host, const send_to_peer& action) {
+    if (const auto* run = std::get_if<run_request>(&action.message.body)) {
+        // Without it the other host cannot tell that the endpoint has become another database's.
+        REQUIRE_FALSE(run->database.empty());
+    }
     const auto target = this->hosts.find(action.peer);
     const auto delay = this->delay_between(host, action.peer);
     const bool reachable = target != this->hosts.end() && target->second.alive && !this->is_cut(host, action.peer);
