--- a/tests/review_cases/start_hosts.py
+++ b/tests/review_cases/start_hosts.py
@@ -12,10 +12,6 @@
 import sys
 
 
-class HostsReady(BaseException):
-    """Ends a case once its hosts are ready. Not an `Exception`, which the cases would catch."""
-
-
 def unused_ports():
     """Yields loopback ports, each once, from below the range from which the system takes ports by itself.
 
@@ -48,7 +44,7 @@
             print(f"{os.path.basename(path)}:\n{log.read()[-4000:]}")
 
 
-def stop_when_ready(owner, method, folder_of):
+def stop_when_ready(owner, method, end):
     """Makes `owner.method` end the case if the hosts are ready, and show their logs if they are not."""
     original = getattr(owner, method)
 
@@ -56,12 +52,15 @@
         try:
             result = await original(self, *arguments)
         except Exception:
-            show_logs(folder_of(self))
+            show_logs(self.folder)
             raise
         if result is False:
-            show_logs(folder_of(self))
+            show_logs(self.folder)
             return result
-        raise HostsReady
+        end(self)
+        print("the hosts became ready", flush=True)
+        # Not by an exception: asyncio can wait without limit for the tasks of the stand-ins when it cancels them.
+        os._exit(0)
 
     setattr(owner, method, start)
 
@@ -73,14 +72,11 @@
     import lab
 
     give_unused_ports(lab, deployment)
-    stop_when_ready(lab.Lab, "wait_ready", lambda self: self.folder)
-    stop_when_ready(deployment.Deployment, "start", lambda self: self.folder)
+    stop_when_ready(lab.Lab, "wait_ready", lab.Lab.stop)
+    stop_when_ready(deployment.Deployment, "start", deployment.Deployment.end)
     sys.argv = [case]
     try:
         runpy.run_path(case, run_name="__main__")
-    except HostsReady:
-        print("the hosts became ready")
-        return 0
     except SystemExit as end:
         print(f"ended with {end.code} before its hosts were ready")
     return 1
